--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,707 @@
+package brain
+
+// How to call it: New makes one node's brain from a seed and the deployment's facts; Step takes one input and
+// the time and returns the effects in order. The interface stands in api.go, plain data in state.go; every
+// decision is in this file. Read it from the table down: a state and an input give the next state and an
+// effect; an effect may feed a further input, until none is left.
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	taken     state = iota // nothing is out, no state is held
+	reading                // a reader's send is out
+	held                   // the state waits at the reader, nothing is out
+	writing                // a writer's send is out
+	streaming              // the client gets the answer
+	ended                  // answered, or nobody waits
+)
+
+const (
+	nothing    input = iota
+	arrive           // the node has taken it
+	wake             // a wait is over
+	timeUp           // the client is about to give up
+	clientGone       // the client has given up
+	readDone         // the state waits at the reader
+	readLost         // a reader's send ended without a state
+	notWritten       // a writer surely never ran it, the state is kept
+	stateGone        // a writer surely never ran it, the state is gone
+	mayHaveRun       // a writer's send ended and it may have run
+	firstToken       // the stream began
+	over             // the final answer is with the client, or the stream broke
+	noReader         // no reader may be sent to now
+	noWriter         // no writer may be sent to now
+	spent            // no further send is allowed
+)
+
+var table = map[state]map[input]rule{
+	taken: {
+		arrive:     {reading, (*Brain).sendToReader},
+		wake:       {reading, (*Brain).sendToReader},
+		timeUp:     {ended, (*Brain).giveUp},
+		clientGone: {ended, (*Brain).letGo},
+	},
+	reading: {
+		noReader:   {taken, (*Brain).wait},
+		noWriter:   {taken, (*Brain).wait},
+		spent:      {ended, (*Brain).giveUp},
+		readDone:   {writing, (*Brain).sendToWriter},
+		readLost:   {reading, (*Brain).sendToReader},
+		timeUp:     {ended, (*Brain).giveUp},
+		clientGone: {ended, (*Brain).letGo},
+		over:       {ended, (*Brain).letGo},
+	},
+	held: {
+		wake:       {writing, (*Brain).sendToWriter},
+		timeUp:     {ended, (*Brain).giveUp},
+		clientGone: {ended, (*Brain).letGo},
+	},
+	writing: {
+		noWriter:   {held, (*Brain).wait},
+		spent:      {ended, (*Brain).giveUp},
+		notWritten: {writing, (*Brain).sendToWriter},
+		stateGone:  {reading, (*Brain).sendToReader},
+		mayHaveRun: {writing, (*Brain).sendToWriter},
+		firstToken: {streaming, nil},
+		timeUp:     {ended, (*Brain).giveUp},
+		clientGone: {ended, (*Brain).letGo},
+		over:       {ended, (*Brain).letGo},
+	},
+	streaming: {
+		clientGone: {ended, (*Brain).letGo},
+		over:       {ended, (*Brain).letGo},
+	},
+	ended: { // what comes late still lets go of what is held
+		readDone: {ended, (*Brain).letGo}, readLost: {ended, (*Brain).letGo},
+		notWritten: {ended, (*Brain).letGo}, stateGone: {ended, (*Brain).letGo},
+		mayHaveRun: {ended, (*Brain).letGo}, over: {ended, (*Brain).letGo},
+	},
+}
+
+func (b *Brain) drive(inf *inference, in input) {
+	for in != nothing {
+		r, ok := table[inf.state][in]
+		if !ok {
+			return
+		}
+		inf.state, in = r.next, nothing
+		if r.effect != nil {
+			in = r.effect(b, inf)
+		}
+	}
+}
+
+// take sorts an input of the interface into inputs of the table.
+func (b *Brain) take(in Input) {
+	if !b.started {
+		b.started = true
+		b.watch()
+	}
+	switch in := in.(type) {
+	case EngineNews:
+		b.learnEngines(in)
+	case Arrival:
+		inf := &inference{Arrival: in, at: b.now}
+		b.infs[in.Inf] = inf
+		b.arm(inf, timeUp, max(0, in.GiveUpAt-b.now-b.margin()))
+		b.drive(inf, arrive)
+	case FirstToken:
+		if inf := b.infs[in.Inf]; inf != nil && in.Send < len(inf.sends) {
+			s := &inf.sends[in.Send]
+			s.began = true
+			b.learnLag(b.engines[in.Engine], float64(in.Lag))
+			b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
+			b.drive(inf, firstToken)
+		}
+	case Outcome:
+		b.takeOutcome(in)
+	case ClientGone:
+		if inf := b.infs[in.Inf]; inf != nil {
+			b.drive(inf, clientGone)
+			b.forget(inf)
+		}
+	case TimerDue:
+		t, ok := b.timers[in.Token]
+		delete(b.timers, in.Token)
+		if !ok {
+			return
+		}
+		if t.inf < 0 {
+			b.watch()
+		} else if inf := b.infs[t.inf]; inf != nil {
+			if t.input == wake {
+				inf.wakeSet = false
+			}
+			b.drive(inf, t.input)
+			b.forget(inf)
+		}
+	}
+}
+
+func (b *Brain) takeOutcome(o Outcome) {
+	inf := b.infs[o.Inf]
+	if inf == nil || o.Send < 0 || o.Send >= len(inf.sends) || !inf.sends[o.Send].out {
+		if o.Verdict == ReadDone {
+			b.effects = append(b.effects, Discard{o.Inf}) // came after all was forgotten
+		}
+		return
+	}
+	s := &inf.sends[o.Send]
+	s.out, inf.freeAt, inf.last = false, b.now, o
+	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
+	b.learnOutcome(inf, s, o)
+	in := over
+	switch {
+	case o.Ended:
+	case o.Verdict == ReadDone:
+		in = readDone
+	case !s.writes:
+		in = readLost
+	case o.Verdict == Full && o.Note == 1:
+		in = stateGone
+	case s.neverRan:
+		in = notWritten
+	default:
+		in = mayHaveRun
+	}
+	b.drive(inf, in)
+	b.forget(inf)
+}
+
+// forget drops an inference that has ended and has nothing out.
+func (b *Brain) forget(inf *inference) {
+	if inf.state == ended && !slices.ContainsFunc(inf.sends, func(s send) bool { return s.out }) {
+		delete(b.infs, inf.Inf)
+	}
+}
+
+// ---- gates: every send and every final answer passes one of these, which check the rules
+
+// gate sends to an engine if the rules allow it, else says what stands against it.
+func (b *Brain) gate(inf *inference, e *engine, writes bool, patience int64) input {
+	out := slices.ContainsFunc(inf.sends, func(s send) bool { return s.out })
+	switch {
+	case len(inf.sends) >= int(b.num("limits.sends", 1)), b.now >= inf.GiveUpAt-b.margin(), !b.mayRepeat(inf, e, writes):
+		return spent
+	case out, !e.Ready, !b.coldRoom(e):
+		return noWriter
+	}
+	e.sent = last(e.sent, b.now, 32)
+	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: writes, out: true})
+	b.effects = append(b.effects, Send{inf.Inf, e.Engine, patience})
+	return nothing
+}
+
+// mayRepeat keeps an effect from happening twice: what may have run goes out again only as its route allows.
+// Reads have no effect.
+func (b *Brain) mayRepeat(inf *inference, e *engine, writes bool) bool {
+	effect := b.word(b.route(inf, "effect"))
+	if effect == "retriable" {
+		return true
+	}
+	for _, s := range inf.sends {
+		if s.neverRan || !s.writes {
+			continue
+		}
+		if effect != "deduped" || b.now-s.at >= int64(b.num(b.route(inf, "dedup_window"), 0)) {
+			return false
+		}
+		first := b.engines[s.engine]
+		switch b.word(b.route(inf, "dedup_group")) {
+		case "all":
+		case "zone":
+			if writes && (first == nil || first.Zone != e.Zone) {
+				return false
+			}
+		default:
+			if writes && (first == nil || first.Cell != e.Cell) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// giveUp is the gate of final answers: shed where that is true, else errored. What is held or out goes too.
+func (b *Brain) giveUp(inf *inference) input {
+	effect := b.word(b.route(inf, "effect"))
+	mayShed := effect == "retriable" || effect == "deduped" && b.word(b.route(inf, "dedup_group")) == "all"
+	// A stream that returned after a break has run before, under another id.
+	ran := inf.Resumed || slices.ContainsFunc(inf.sends, func(s send) bool { return s.writes && (s.out || !s.neverRan) })
+	if mayShed || !ran {
+		var comeBack int64
+		if b.flag("limits.retry_after") {
+			// Half a second: longer than a jam of a few reads, shorter than most clients' patience.
+			comeBack = min(int64(500*time.Millisecond), int64(b.num("limits.max_retry_after", 0)))
+		}
+		b.effects = append(b.effects, Shed{inf.Inf, comeBack})
+	} else {
+		b.effects = append(b.effects, Fail{inf.Inf})
+	}
+	return b.letGo(inf)
+}
+
+// letGo withdraws what is out and discards what is held. A read that still ends is discarded when it does.
+func (b *Brain) letGo(inf *inference) input {
+	for i, s := range inf.sends {
+		if s.out && !s.began && b.flag("limits.cancel") {
+			b.effects = append(b.effects, Withdraw{inf.Inf, i})
+		}
+	}
+	b.effects = append(b.effects, Discard{inf.Inf})
+	return nothing
+}
+
+// wait tries again a little later; a held state is sent on before its time is up.
+func (b *Brain) wait(inf *inference) input {
+	if !inf.wakeSet {
+		inf.wakeSet = true
+		// 30 ms: a few writer steps, so a freed slot is not left idle for long.
+		b.arm(inf, wake, int64(30*time.Millisecond))
+	}
+	return nothing
+}
+
+func (b *Brain) arm(inf *inference, in input, after int64) {
+	b.token++
+	b.timers[b.token] = timer{inf.Inf, in}
+	b.effects = append(b.effects, ArmTimer{b.token, after})
+}
+
+// margin is how long before the client gives up the answer must go: a timer and its answer may each wait a tick.
+func (b *Brain) margin() int64 { return 3 * int64(b.num("tick", float64(time.Millisecond))) }
+
+// ---- readers
+
+func (b *Brain) sendToReader(inf *inference) input {
+	e := b.pickReader(inf)
+	if e == nil {
+		return noReader
+	}
+	// Reads may be repeated. Four times the usual lag tells a silent or slow reader from a busy one; the floor
+	// of 300 ms spares reads that merely met a few others.
+	var patience int64
+	if usual, ok := b.usualLag(e, true); ok && len(inf.sends)+2 < int(b.num("limits.sends", 1)) {
+		patience = max(int64(300*time.Millisecond), int64(4*usual*readWork(inf.Prompt)))
+	}
+	inf.reader = e.Engine
+	return b.gate(inf, e, false, patience)
+}
+
+// readWork counts a read in tokens; 1,000 stand for the steps that even a short read waits for.
+func readWork(tokens float64) float64 { return 1000 + tokens }
+
+// pickReader is the design's ladder: the session's pair, then overlap under the cap, then hash, then least load.
+func (b *Brain) pickReader(inf *inference) *engine {
+	loads := b.loads()
+	ready := b.usable(inf, loads, func(e *engine) bool { return e.reader })
+	if len(ready) == 0 {
+		return nil
+	}
+	// 30 s: the design's starting value.
+	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
+		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader }); i >= 0 {
+			return ready[i]
+		}
+	}
+	const margin = 0.75 // the design's starting value
+	total, weights := 1.0, 0.0
+	for _, e := range ready {
+		total += float64(loads[e.Engine].reads)
+		weights += e.Weight
+	}
+	load := func(e *engine) int { return loads[e.Engine].reads }
+	under := func(e *engine) bool {
+		return float64(load(e)) < math.Ceil((1+margin)*total*e.Weight/weights)
+	}
+	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
+	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
+		func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y)) }); e != nil {
+		return e
+	}
+	least := func(x, y *engine) int { return load(x) - load(y) }
+	some := func(e *engine) bool { return overlap(e) > 0 }
+	if !slices.ContainsFunc(ready, some) {
+		key := cmp.Or(inf.Prefix, inf.Session)
+		if e := ready[hash(key)%uint64(len(ready))]; under(e) {
+			return e
+		}
+	}
+	if e := best(ready, under, least); e != nil {
+		return e
+	}
+	if e := best(ready, some, least); e != nil {
+		return e
+	}
+	return b.roundRobin(ready, least)
+}
+
+// overlap is how much of the prompt a reader is thought to keep; under a fifth counts as none.
+func (b *Brain) overlap(inf *inference, e *engine) float64 {
+	// Five minutes: engines keep texts until memory runs out, which no node sees; kept counts correct the rest.
+	const age = int64(5 * time.Minute)
+	most := 0.0
+	for _, k := range []keptKey{{true, inf.Session, e.Engine}, {false, inf.Prefix, e.Engine}} {
+		if v, ok := b.kept[k]; ok && k.key != "" && b.now-v.at < age {
+			n := v.tokens
+			if !k.session {
+				n = min(n, inf.PrefixTokens)
+			}
+			most = max(most, min(n, inf.Prompt))
+		}
+	}
+	if most < 0.2*inf.Prompt {
+		return 0
+	}
+	return most
+}
+
+// learnKept notes after a read what the reader keeps now. A shared beginning that should have been kept and
+// was not tells a reader that has forgotten: all else remembered of it is dropped too.
+func (b *Brain) learnKept(inf *inference, reader string, keptTokens float64) {
+	prefix := keptKey{false, inf.Prefix, reader}
+	if v, ok := b.kept[prefix]; ok && inf.Prefix != "" && keptTokens < 0.5*min(v.tokens, inf.PrefixTokens) {
+		for k, old := range b.kept {
+			if k.reader == reader && old.at < inf.at {
+				delete(b.kept, k)
+			}
+		}
+	}
+	b.kept[keptKey{true, inf.Session, reader}] = kept{inf.Prompt, b.now}
+	if inf.Prefix != "" {
+		b.kept[prefix] = kept{inf.PrefixTokens, b.now}
+	}
+	// 20,000 entries: a few megabytes; then the older half goes.
+	if len(b.kept) > 20000 {
+		var ages []int64
+		for _, v := range b.kept {
+			ages = append(ages, v.at)
+		}
+		slices.Sort(ages)
+		for k, v := range b.kept {
+			if v.at <= ages[len(ages)/2] {
+				delete(b.kept, k)
+			}
+		}
+		for s, p := range b.pairs {
+			if p.at <= ages[len(ages)/2] {
+				delete(b.pairs, s)
+			}
+		}
+	}
+}
+
+// ---- writers
+
+func (b *Brain) sendToWriter(inf *inference) input {
+	// A non-retriable that may have run gets its error at once; so does what no engine may take again.
+	if !slices.ContainsFunc(b.ids, func(id string) bool { return b.mayRepeat(inf, b.engines[id], true) }) {
+		return spent
+	}
+	e := b.pickWriter(inf)
+	if e == nil {
+		if b.now-inf.freeAt > int64(b.num("engine_facts.pin", 0))-2*b.margin()-int64(30*time.Millisecond) {
+			return spent
+		}
+		return noWriter
+	}
+	var patience int64
+	if usual, ok := b.usualLag(e, false); ok && b.word(b.route(inf, "effect")) == "retriable" &&
+		len(inf.sends)+1 < int(b.num("limits.sends", 1)) {
+		patience = max(int64(500*time.Millisecond), int64(6*usual))
+	}
+	inf.writer = e.Engine
+	return b.gate(inf, e, true, patience)
+}
+
+// pickWriter takes the session's writer if it is valid, else the one with fewest own streams; ties go to the
+// reader's cell, then its zone, then round robin.
+func (b *Brain) pickWriter(inf *inference) *engine {
+	loads := b.loads()
+	ready := b.usable(inf, loads, func(e *engine) bool { return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e, true) })
+	if len(ready) == 0 {
+		return nil
+	}
+	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
+		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.writer }); i >= 0 {
+			return ready[i]
+		}
+	}
+	from := b.engines[inf.reader]
+	far := func(e *engine) int {
+		switch {
+		case from == nil:
+			return 0
+		case e.Cell == from.Cell:
+			return 0
+		case e.Zone == from.Zone:
+			return 1
+		}
+		return 2
+	}
+	return b.roundRobin(ready, func(x, y *engine) int {
+		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
+	})
+}
+
+// ---- engines
+
+// usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
+func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
+	var fit, well []*engine
+	for _, id := range b.ids {
+		e := b.engines[id]
+		if !e.Ready || !fits(e) || !b.coldRoom(e) {
+			continue
+		}
+		fit = append(fit, e)
+		if b.healthy(inf, e, loads[id]) {
+			well = append(well, e)
+		}
+	}
+	if len(well) > 0 {
+		return well
+	}
+	return fit
+}
+
+// healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps an
+// engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. It harms
+// when a whole fleet is busy, as lags then look like trouble; so the signs are measured against other engines.
+func (b *Brain) healthy(inf *inference, e *engine, l load) bool {
+	n := 0
+	for _, at := range e.strikes {
+		if b.now-at < int64(time.Minute) {
+			n++
+		}
+	}
+	if n > 0 && b.now-e.strikes[len(e.strikes)-1] < int64(2*time.Second)<<min(n-1, 3) {
+		return false
+	}
+	if e.trial {
+		return l.reads+l.streams == 0
+	}
+	// A send of this inference that came back from there without an outcome to build on: try another first.
+	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && s.writes == e.writer })
+}
+
+// strike notes trouble with an engine. After silence it may have restarted unseen, so it counts as cold when it
+// answers again.
+func (b *Brain) strike(e *engine) {
+	if len(e.strikes) == 0 || b.now-e.strikes[len(e.strikes)-1] > int64(500*time.Millisecond) {
+		e.strikes = last(e.strikes, b.now, 6)
+	}
+	e.trial = true
+}
+
+func (b *Brain) learnOutcome(inf *inference, s *send, o Outcome) {
+	e := b.engines[s.engine]
+	if e == nil {
+		return
+	}
+	switch o.Verdict {
+	case ReadDone:
+		b.learnKept(inf, s.engine, o.Note)
+		b.learnLag(e, float64(o.Lag)/readWork(inf.Prompt-o.Note))
+	case Full:
+		// 150 ms: about the time in which a busy writer ends one answer.
+		e.fullUntil = b.now + int64(150*time.Millisecond)
+	case TimedOut, NotConnected, ConnectionLost:
+		if inf.state != ended && b.now < inf.GiveUpAt-b.margin() {
+			b.strike(e)
+			e.coldFrom = b.now
+		}
+	case EngineError:
+		b.strike(e)
+	}
+}
+
+// learnLag takes a lag as a sign of health, or of trouble where it is far over what other engines need.
+func (b *Brain) learnLag(e *engine, lag float64) {
+	if e == nil {
+		return
+	}
+	e.samples = last(e.samples, sample{b.now, lag}, 8)
+	usual, ok := b.usualLag(e, e.reader)
+	mine, n := medianLag(e.samples[max(0, len(e.samples)-3):])
+	// Three times the usual, seen in three lags: noise seldom makes that, and slow engines are slower still.
+	// Writers' lags under 200 ms harm nobody.
+	if ok && n >= 3 && mine > 3*usual && (e.reader || mine > float64(200*time.Millisecond)) {
+		b.strike(e)
+		return
+	}
+	e.trial = false
+}
+
+// usualLag is the median lag of the other engines of the same role.
+func (b *Brain) usualLag(but *engine, reads bool) (float64, bool) {
+	var all []sample
+	for _, id := range b.ids {
+		if e := b.engines[id]; e != but && e.reader == but.reader && e.writer == but.writer {
+			for _, s := range e.samples {
+				// 10 s: old enough for a quiet node to know something, young enough to follow a burst.
+				if b.now-s.at < int64(10*time.Second) {
+					all = append(all, s)
+				}
+			}
+		}
+	}
+	m, n := medianLag(all)
+	return m, n >= 3
+}
+
+func medianLag(row []sample) (float64, int) {
+	if len(row) == 0 {
+		return 0, 0
+	}
+	lags := make([]float64, len(row))
+	for i, s := range row {
+		lags[i] = s.lag
+	}
+	sort.Float64s(lags)
+	return lags[len(lags)/2], len(lags)
+}
+
+// coldRoom keeps all nodes together from pushing a cold engine over: one send a window from each node. Budgets
+// count every window of that length, and a window's budget is at least cold share x multiple x window of work.
+func (b *Brain) coldRoom(e *engine) bool {
+	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
+		return true
+	}
+	return len(e.sent) == 0 || b.now-e.sent[len(e.sent)-1] > int64(b.num("rules.fall_window", 0))
+}
+
+// loads counts what this node has open at each engine.
+func (b *Brain) loads() map[string]load {
+	loads := map[string]load{}
+	for _, inf := range b.infs {
+		for _, s := range inf.sends {
+			if s.out {
+				l := loads[s.engine]
+				if s.writes {
+					l.streams++
+				} else {
+					l.reads++
+				}
+				loads[s.engine] = l
+			}
+		}
+	}
+	return loads
+}
+
+func (b *Brain) learnEngines(news EngineNews) {
+	if news.Failed {
+		b.token++
+		b.timers[b.token] = timer{-1, wake}
+		// 300 ms and up to as much again: all nodes fail at once, and discovery serves one call at a time.
+		after := int64(300*time.Millisecond) + int64(b.chance()*float64(300*time.Millisecond))
+		b.effects = append(b.effects, ArmTimer{b.token, after})
+		return
+	}
+	seen := map[string]bool{}
+	for _, n := range news.Engines {
+		seen[n.Engine] = true
+		e, known := b.engines[n.Engine]
+		if !known {
+			e = &engine{}
+			b.engines[n.Engine] = e
+		}
+		if n.UpSince > e.UpSince {
+			// It has started anew: cold, and all that it kept is gone.
+			e.coldFrom, e.samples, e.strikes, e.trial = n.UpSince, nil, nil, false
+			b.dropKept(n.Engine)
+		}
+		if n.Weight <= 0 {
+			n.Weight = 1
+		}
+		e.EngineEntry = n
+		role := b.word(fmt.Sprintf("engine_facts.role_of_kind.%d", n.Kind))
+		e.reader, e.writer = role != "write", role != "read"
+	}
+	for id, e := range b.engines {
+		if news.Whole && !seen[id] || e.Out {
+			e.Ready = false
+			b.dropKept(id)
+		}
+	}
+	b.ids = b.ids[:0]
+	for id := range b.engines {
+		b.ids = append(b.ids, id)
+	}
+	slices.Sort(b.ids)
+}
+
+func (b *Brain) dropKept(reader string) {
+	for k := range b.kept {
+		if k.reader == reader {
+			delete(b.kept, k)
+		}
+	}
+}
+
+// watch asks discovery for news where it does not come by itself.
+func (b *Brain) watch() {
+	if b.word("discovery") == "watch" {
+		b.effects = append(b.effects, Watch{})
+	}
+}
+
+// ---- small things
+
+// best is the first of the least by order among those that fit.
+func best(row []*engine, fits func(*engine) bool, order func(x, y *engine) int) *engine {
+	var found *engine
+	for _, e := range row {
+		if fits(e) && (found == nil || order(e, found) < 0) {
+			found = e
+		}
+	}
+	return found
+}
+
+// roundRobin takes turns among those that tie for the least.
+func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
+	least := slices.MinFunc(row, order)
+	var tied []*engine
+	for _, e := range row {
+		if order(e, least) == 0 {
+			tied = append(tied, e)
+		}
+	}
+	b.turn++
+	return tied[b.turn%len(tied)]
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// chance is the next number of this instance between 0 and 1.
+func (b *Brain) chance() float64 {
+	b.draws++
+	return float64(hash(fmt.Sprint(b.seed, b.draws))>>11) / (1 << 53)
+}
+
+func (b *Brain) route(inf *inference, name string) string { return fmt.Sprintf("routes.%d.%s", inf.Route, name) }
+
+func (b *Brain) num(name string, absent float64) float64 {
+	if v, ok := b.facts[name].(float64); ok {
+		return v
+	}
+	return absent
+}
+
+func (b *Brain) word(name string) string { v, _ := b.facts[name].(string); return v }
+
+func (b *Brain) flag(name string) bool { v, _ := b.facts[name].(bool); return v }
--- /dev/null
+++ b/brain/state.go
@@ -0,0 +1,110 @@
+package brain
+
+// Brain is all that one node knows. It is not safe for concurrent use.
+type Brain struct {
+	seed, draws uint64
+	facts       map[string]any
+	now         int64
+	effects     []Effect
+
+	engines map[string]*engine
+	ids     []string // of all engines in the list, sorted
+	infs    map[int64]*inference
+	timers  map[int64]timer
+	token   int64
+	turn    int // round robin
+	started bool
+
+	kept  map[keptKey]kept
+	pairs map[string]pair
+}
+
+// engine is what a node knows of one engine.
+type engine struct {
+	EngineEntry
+	reader, writer bool
+	sent           []int64  // when the last sends went there
+	samples        []sample // the last lags seen
+	strikes        []int64  // when trouble was last seen
+	trial          bool     // struck, and nothing good seen since
+	coldFrom       int64    // when it was last seen to start; 0 for long ago
+	fullUntil      int64
+}
+
+// sample is one lag: of a read for each prompt token, or of a wait for the first token.
+type sample struct {
+	at  int64
+	lag float64
+}
+
+// load is what a node has open at one engine.
+type load struct{ reads, streams int }
+
+// inference is one inference that this node has taken.
+type inference struct {
+	Arrival
+	state   state
+	at      int64 // when it was taken
+	reader  string
+	writer  string
+	sends   []send
+	freeAt  int64 // when the last outcome came, or the read ended
+	wakeSet bool
+	last    Outcome
+}
+
+// send is one try at one engine.
+type send struct {
+	engine   string
+	at       int64
+	writes   bool
+	out      bool
+	neverRan bool
+	began    bool
+}
+
+// timer is what a token stands for.
+type timer struct {
+	inf   int64
+	input input
+}
+
+// keptKey names a session or a shared beginning at one reader.
+type keptKey struct {
+	session bool
+	key     string
+	reader  string
+}
+
+// kept says how much of a text a reader is thought to keep.
+type kept struct {
+	tokens float64
+	at     int64
+}
+
+// pair is where a session was served last.
+type pair struct {
+	reader, writer string
+	at             int64
+}
+
+// state is where an inference stands; input is what happens to it.
+type (
+	state uint8
+	input uint8
+)
+
+// rule is one line of the table: the next state, and the effect, which may feed a further input.
+type rule struct {
+	next   state
+	effect func(*Brain, *inference) input
+}
+
+// last keeps the newest n of a row of samples.
+func last[T any](row []T, v T, n int) []T {
+	row = append(row, v)
+	if len(row) > n {
+		row = append(row[:0], row[len(row)-n:]...)
+	}
+	return row
+}
