--- a/brain/brain.go
+++ b/brain/brain.go
@@ -234,8 +234,9 @@
 func (b *Brain) giveUp(inf *inference) input {
 	effect := b.word(b.route(inf, "effect"))
 	mayShed := effect == "retriable" || effect == "deduped" && b.word(b.route(inf, "dedup_group")) == "all"
-	// A stream that returned after a break has run before, under another id.
-	ran := inf.Resumed || slices.ContainsFunc(inf.sends, func(s send) bool { return s.writes && (s.out || !s.neverRan) })
+	// A stream that returned after a break has run before, under another id. A send that is out is not known
+	// not to have run, at a reader neither.
+	ran := inf.Resumed || slices.ContainsFunc(inf.sends, func(s send) bool { return s.out || !s.neverRan })
 	if mayShed || !ran {
 		var comeBack int64
 		if b.flag("limits.retry_after") {
@@ -493,8 +494,7 @@
 	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && s.writes == e.writer })
 }
 
-// strike notes trouble with an engine. After silence it may have restarted unseen, so it counts as cold when it
-// answers again.
+// strike notes trouble with an engine.
 func (b *Brain) strike(e *engine) {
 	if len(e.strikes) == 0 || b.now-e.strikes[len(e.strikes)-1] > int64(500*time.Millisecond) {
 		e.strikes = last(e.strikes, b.now, 6)
@@ -517,7 +517,6 @@
 	case TimedOut, NotConnected, ConnectionLost:
 		if inf.state != ended && b.now < inf.GiveUpAt-b.margin() {
 			b.strike(e)
-			e.coldFrom = b.now
 		}
 	case EngineError:
 		b.strike(e)
@@ -538,7 +537,11 @@
 		b.strike(e)
 		return
 	}
-	e.trial = false
+	// An engine that failed and said nothing good for 3 s, longer than any jam, may have started anew unseen.
+	if e.trial && b.now-e.goodAt > int64(3*time.Second) {
+		e.coldFrom = b.now
+	}
+	e.trial, e.goodAt = false, b.now
 }
 
 // usualLag is the median lag of the other engines of the same role.
@@ -693,7 +696,9 @@
 	return float64(hash(fmt.Sprint(b.seed, b.draws))>>11) / (1 << 53)
 }
 
-func (b *Brain) route(inf *inference, name string) string { return fmt.Sprintf("routes.%d.%s", inf.Route, name) }
+func (b *Brain) route(inf *inference, name string) string {
+	return fmt.Sprintf("routes.%d.%s", inf.Route, name)
+}
 
 func (b *Brain) num(name string, absent float64) float64 {
 	if v, ok := b.facts[name].(float64); ok {
--- a/brain/state.go
+++ b/brain/state.go
@@ -29,6 +29,7 @@
 	trial          bool     // struck, and nothing good seen since
 	coldFrom       int64    // when it was last seen to start; 0 for long ago
 	fullUntil      int64
+	goodAt         int64 // when it last did well
 }
 
 // sample is one lag: of a read for each prompt token, or of a wait for the first token.
