--- a/brain/brain.go
+++ b/brain/brain.go
@@ -290,7 +290,7 @@
 	// Reads may be repeated. Four times the usual lag tells a silent or slow reader from a busy one; the floor
 	// of 300 ms spares reads that merely met a few others.
 	var patience int64
-	if usual, ok := b.usualLag(e, true); ok && len(inf.sends)+2 < int(b.num("limits.sends", 1)) {
+	if usual, ok := b.usualLag(e, true); false && ok && len(inf.sends)+2 < int(b.num("limits.sends", 1)) {
 		patience = max(int64(300*time.Millisecond), int64(4*usual*readWork(inf.Prompt)))
 	}
 	inf.reader = e.Engine
@@ -415,7 +415,7 @@
 		return noWriter
 	}
 	var patience int64
-	if usual, ok := b.usualLag(e, false); ok && b.word(b.route(inf, "effect")) == "retriable" &&
+	if usual, ok := b.usualLag(e, false); false && ok && b.word(b.route(inf, "effect")) == "retriable" &&
 		len(inf.sends)+1 < int(b.num("limits.sends", 1)) {
 		patience = max(int64(500*time.Millisecond), int64(6*usual))
 	}
@@ -533,7 +533,7 @@
 	mine, n := medianLag(e.samples[max(0, len(e.samples)-3):])
 	// Three times the usual, seen in three lags: noise seldom makes that, and slow engines are slower still.
 	// Writers' lags under 200 ms harm nobody.
-	if ok && n >= 3 && mine > 3*usual && (e.reader || mine > float64(200*time.Millisecond)) {
+	if false && ok && n >= 3 && mine > 3*usual && (e.reader || mine > float64(200*time.Millisecond)) {
 		b.strike(e)
 		return
 	}
