--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,7 +11,6 @@
 	"hash/fnv"
 	"math"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -287,14 +286,8 @@
 	if e == nil {
 		return noReader
 	}
-	// Reads may be repeated. Four times the usual lag tells a silent or slow reader from a busy one; the floor
-	// of 300 ms spares reads that merely met a few others.
-	var patience int64
-	if usual, ok := b.usualLag(e, true); false && ok && len(inf.sends)+2 < int(b.num("limits.sends", 1)) {
-		patience = max(int64(300*time.Millisecond), int64(4*usual*readWork(inf.Prompt)))
-	}
 	inf.reader = e.Engine
-	return b.gate(inf, e, false, patience)
+	return b.gate(inf, e, false, 0)
 }
 
 // readWork counts a read in tokens; 1,000 stand for the steps that even a short read waits for.
@@ -414,13 +407,8 @@
 		}
 		return noWriter
 	}
-	var patience int64
-	if usual, ok := b.usualLag(e, false); false && ok && b.word(b.route(inf, "effect")) == "retriable" &&
-		len(inf.sends)+1 < int(b.num("limits.sends", 1)) {
-		patience = max(int64(500*time.Millisecond), int64(6*usual))
-	}
 	inf.writer = e.Engine
-	return b.gate(inf, e, true, patience)
+	return b.gate(inf, e, true, 0)
 }
 
 // pickWriter takes the session's writer if it is valid, else the one with fewest own streams; ties go to the
@@ -523,20 +511,12 @@
 	}
 }
 
-// learnLag takes a lag as a sign of health, or of trouble where it is far over what other engines need.
+// learnLag takes an answer as a sign of health.
 func (b *Brain) learnLag(e *engine, lag float64) {
 	if e == nil {
 		return
 	}
 	e.samples = last(e.samples, sample{b.now, lag}, 8)
-	usual, ok := b.usualLag(e, e.reader)
-	mine, n := medianLag(e.samples[max(0, len(e.samples)-3):])
-	// Three times the usual, seen in three lags: noise seldom makes that, and slow engines are slower still.
-	// Writers' lags under 200 ms harm nobody.
-	if false && ok && n >= 3 && mine > 3*usual && (e.reader || mine > float64(200*time.Millisecond)) {
-		b.strike(e)
-		return
-	}
 	// An engine that failed and said nothing good for 3 s, longer than any jam, may have started anew unseen.
 	if e.trial && b.now-e.goodAt > int64(3*time.Second) {
 		e.coldFrom = b.now
@@ -544,35 +524,6 @@
 	e.trial, e.goodAt = false, b.now
 }
 
-// usualLag is the median lag of the other engines of the same role.
-func (b *Brain) usualLag(but *engine, reads bool) (float64, bool) {
-	var all []sample
-	for _, id := range b.ids {
-		if e := b.engines[id]; e != but && e.reader == but.reader && e.writer == but.writer {
-			for _, s := range e.samples {
-				// 10 s: old enough for a quiet node to know something, young enough to follow a burst.
-				if b.now-s.at < int64(10*time.Second) {
-					all = append(all, s)
-				}
-			}
-		}
-	}
-	m, n := medianLag(all)
-	return m, n >= 3
-}
-
-func medianLag(row []sample) (float64, int) {
-	if len(row) == 0 {
-		return 0, 0
-	}
-	lags := make([]float64, len(row))
-	for i, s := range row {
-		lags[i] = s.lag
-	}
-	sort.Float64s(lags)
-	return lags[len(lags)/2], len(lags)
-}
-
 // coldRoom keeps all nodes together from pushing a cold engine over: one send a window from each node. Budgets
 // count every window of that length, and a window's budget is at least cold share x multiple x window of work.
 func (b *Brain) coldRoom(e *engine) bool {
