--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,11 +39,15 @@
 	noReader         // no reader may be sent to now
 	noWriter         // no writer may be sent to now
 	spent            // no further send is allowed
+	admitted         // it can be in time
+	hopeless         // it cannot be in time
 )
 
 var table = map[state]map[input]rule{
 	taken: {
-		arrive:     {reading, (*Brain).sendToReader},
+		arrive:     {taken, (*Brain).admit},
+		admitted:   {reading, (*Brain).sendToReader},
+		hopeless:   {ended, (*Brain).giveUp},
 		wake:       {reading, (*Brain).sendToReader},
 		timeUp:     {ended, (*Brain).giveUp},
 		clientGone: {ended, (*Brain).letGo},
@@ -116,7 +120,7 @@
 		if inf := b.infs[in.Inf]; inf != nil && in.Send < len(inf.sends) {
 			s := &inf.sends[in.Send]
 			s.began = true
-			b.learnLag(b.engines[in.Engine], float64(in.Lag))
+			b.learnLag(b.engines[in.Engine], in.Lag)
 			b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
 			b.drive(inf, firstToken)
 		}
@@ -279,6 +283,61 @@
 // margin is how long before the client gives up the answer must go: a timer and its answer may each wait a tick.
 func (b *Brain) margin() int64 { return 3 * int64(b.num("tick", float64(time.Millisecond))) }
 
+// ---- shedding
+
+// admit sheds at once what would not be in time: queues that only grow leave everybody late and never clear,
+// whatever filled them (too much traffic, engines lost, texts forgotten, slow engines). It harms where lags are
+// high but harmless. Streams that return after a break have begun already and are always taken.
+func (b *Brain) admit(inf *inference) input {
+	loads := b.loads()
+	reader := b.pickReader(inf)
+	writers := b.usable(inf, loads, func(e *engine) bool { return e.writer })
+	if reader == nil || len(writers) == 0 || inf.Resumed {
+		return admitted
+	}
+	var lags []int64
+	for _, e := range writers {
+		lags = append(lags, b.lag(e, loads[e.Engine]))
+	}
+	most := 1e-9
+	for i := range int(b.num("routes.count", 0)) {
+		most = max(most, b.num(fmt.Sprintf("routes.%d.value", i), 1))
+	}
+	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
+	// value, nearer to 0.4 the less a route is worth.
+	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
+	if float64(b.lag(reader, loads[reader.Engine])+median(lags)) > line {
+		return hopeless
+	}
+	return admitted
+}
+
+// target is the time in which the first token is wanted.
+func (b *Brain) target(inf *inference) float64 {
+	per := b.num(fmt.Sprintf("engine_facts.target_per_1000_tokens.%d", inf.Route), 0)
+	return b.num(b.route(inf, "first_token_target"), 1e9) + per*inf.Prompt/1000
+}
+
+// lag is how long sends wait at an engine now: the last seen, or what is out where that has waited longer.
+func (b *Brain) lag(e *engine, l load) int64 {
+	var seen []int64
+	for _, s := range e.samples {
+		// 2 s: about the time that a queue takes to change.
+		if b.now-s.at < int64(2*time.Second) {
+			seen = append(seen, s.lag)
+		}
+	}
+	return max(median(seen), median(l.waits))
+}
+
+func median(row []int64) int64 {
+	if len(row) == 0 {
+		return 0
+	}
+	slices.Sort(row)
+	return row[len(row)/2]
+}
+
 // ---- readers
 
 func (b *Brain) sendToReader(inf *inference) input {
@@ -290,9 +349,6 @@
 	return b.gate(inf, e, false, 0)
 }
 
-// readWork counts a read in tokens; 1,000 stand for the steps that even a short read waits for.
-func readWork(tokens float64) float64 { return 1000 + tokens }
-
 // pickReader is the design's ladder: the session's pair, then overlap under the cap, then hash, then least load.
 func (b *Brain) pickReader(inf *inference) *engine {
 	loads := b.loads()
@@ -498,7 +554,7 @@
 	switch o.Verdict {
 	case ReadDone:
 		b.learnKept(inf, s.engine, o.Note)
-		b.learnLag(e, float64(o.Lag)/readWork(inf.Prompt-o.Note))
+		b.learnLag(e, o.Lag)
 	case Full:
 		// 150 ms: about the time in which a busy writer ends one answer.
 		e.fullUntil = b.now + int64(150*time.Millisecond)
@@ -512,7 +568,7 @@
 }
 
 // learnLag takes an answer as a sign of health.
-func (b *Brain) learnLag(e *engine, lag float64) {
+func (b *Brain) learnLag(e *engine, lag int64) {
 	if e == nil {
 		return
 	}
@@ -545,6 +601,9 @@
 				} else {
 					l.reads++
 				}
+				if !s.began {
+					l.waits = append(l.waits, b.now-s.at)
+				}
 				loads[s.engine] = l
 			}
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -32,14 +32,17 @@
 	goodAt         int64 // when it last did well
 }
 
-// sample is one lag: of a read for each prompt token, or of a wait for the first token.
+// sample is one lag: of a read, or of a wait for the first token.
 type sample struct {
 	at  int64
-	lag float64
+	lag int64
 }
 
 // load is what a node has open at one engine.
-type load struct{ reads, streams int }
+type load struct {
+	reads, streams int
+	waits          []int64 // how long its unanswered sends have waited
+}
 
 // inference is one inference that this node has taken.
 type inference struct {
