--- a/brain/brain.go
+++ b/brain/brain.go
@@ -502,13 +502,15 @@
 // usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
 func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
 	var fit, well []*engine
+	var lags []int64
 	for _, id := range b.ids {
-		e := b.engines[id]
-		if !e.Ready || !fits(e) || !b.coldRoom(e) {
-			continue
+		if e := b.engines[id]; e.Ready && fits(e) && b.coldRoom(e) {
+			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
-		fit = append(fit, e)
-		if b.healthy(inf, e, loads[id]) {
+	}
+	usual := median(lags)
+	for _, e := range fit {
+		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
 		}
 	}
@@ -521,7 +523,11 @@
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps an
 // engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. It harms
 // when a whole fleet is busy, as lags then look like trouble; so the signs are measured against other engines.
-func (b *Brain) healthy(inf *inference, e *engine, l load) bool {
+func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
+	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
+	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
+		return false
+	}
 	n := 0
 	for _, at := range e.strikes {
 		if b.now-at < int64(time.Minute) {
