Tell queues by the least lag of late; table in rows

Cause: the median of few lags takes heavy reads for a queue; the least lag is high only where all wait.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,65 +43,44 @@
 	hopeless         // it cannot be in time
 )
 
-var table = map[state]map[input]rule{
-	taken: {
-		arrive:     {taken, (*Brain).admit},
-		admitted:   {reading, (*Brain).sendToReader},
-		hopeless:   {ended, (*Brain).giveUp},
-		wake:       {reading, (*Brain).sendToReader},
-		timeUp:     {ended, (*Brain).giveUp},
-		clientGone: {ended, (*Brain).letGo},
-	},
-	reading: {
-		noReader:   {taken, (*Brain).wait},
-		noWriter:   {taken, (*Brain).wait},
-		spent:      {ended, (*Brain).giveUp},
-		readDone:   {writing, (*Brain).sendToWriter},
-		readLost:   {reading, (*Brain).sendToReader},
-		timeUp:     {ended, (*Brain).giveUp},
-		clientGone: {ended, (*Brain).letGo},
-		over:       {ended, (*Brain).letGo},
-	},
-	held: {
-		wake:       {writing, (*Brain).sendToWriter},
-		timeUp:     {ended, (*Brain).giveUp},
-		clientGone: {ended, (*Brain).letGo},
-	},
-	writing: {
-		noWriter:   {held, (*Brain).wait},
-		spent:      {ended, (*Brain).giveUp},
-		notWritten: {writing, (*Brain).sendToWriter},
-		stateGone:  {reading, (*Brain).sendToReader},
-		mayHaveRun: {writing, (*Brain).sendToWriter},
-		firstToken: {streaming, nil},
-		timeUp:     {ended, (*Brain).giveUp},
-		clientGone: {ended, (*Brain).letGo},
-		over:       {ended, (*Brain).letGo},
-	},
-	streaming: {
-		clientGone: {ended, (*Brain).letGo},
-		over:       {ended, (*Brain).letGo},
-	},
-	ended: { // what comes late still lets go of what is held
-		readDone: {ended, (*Brain).letGo}, readLost: {ended, (*Brain).letGo},
-		notWritten: {ended, (*Brain).letGo}, stateGone: {ended, (*Brain).letGo},
-		mayHaveRun: {ended, (*Brain).letGo}, over: {ended, (*Brain).letGo},
-	},
-}
-
-func (b *Brain) drive(inf *inference, in input) {
-	for in != nothing {
-		r, ok := table[inf.state][in]
-		if !ok {
+var open, all = []state{taken, reading, held, writing}, []state{taken, reading, held, writing, streaming, ended}
+
+// table lists, for the states in the first column, what an input leads to: the next state and the effect.
+var table = []rule{
+	{is(taken), in(arrive), taken, (*Brain).admit},
+	{is(taken), in(admitted, wake), reading, (*Brain).sendToReader},
+	{is(reading), in(readLost), reading, (*Brain).sendToReader},
+	{is(reading), in(noReader, noWriter), taken, (*Brain).wait},
+	{is(reading), in(readDone), writing, (*Brain).sendToWriter},
+	{is(held), in(wake), writing, (*Brain).sendToWriter},
+	{is(writing), in(notWritten, mayHaveRun), writing, (*Brain).sendToWriter},
+	{is(writing), in(noWriter), held, (*Brain).wait},
+	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
+	{is(writing), in(firstToken), streaming, nil},
+	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
+	{all, in(clientGone, over), ended, (*Brain).letGo},
+	// What comes after the end still lets go of what is held.
+	{is(ended), in(readDone, readLost, notWritten, stateGone, mayHaveRun), ended, (*Brain).letGo},
+}
+
+func (b *Brain) drive(inf *inference, happens input) {
+	for happens != nothing {
+		i := slices.IndexFunc(table, func(r rule) bool {
+			return slices.Contains(r.from, inf.state) && slices.Contains(r.inputs, happens)
+		})
+		if i < 0 {
 			return
 		}
-		inf.state, in = r.next, nothing
-		if r.effect != nil {
-			in = r.effect(b, inf)
+		inf.state, happens = table[i].next, nothing
+		if table[i].effect != nil {
+			happens = table[i].effect(b, inf)
 		}
 	}
 }
 
+func is(s ...state) []state { return s }
+func in(i ...input) []input { return i }
+
 // take sorts an input of the interface into inputs of the table.
 func (b *Brain) take(in Input) {
 	if !b.started {
@@ -161,21 +140,21 @@
 	s.out, inf.freeAt, inf.last = false, b.now, o
 	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
 	b.learnOutcome(inf, s, o)
-	in := over
+	happens := over
 	switch {
 	case o.Ended:
 	case o.Verdict == ReadDone:
-		in = readDone
+		happens = readDone
 	case !s.writes:
-		in = readLost
+		happens = readLost
 	case o.Verdict == Full && o.Note == 1:
-		in = stateGone
+		happens = stateGone
 	case s.neverRan:
-		in = notWritten
+		happens = notWritten
 	default:
-		in = mayHaveRun
+		happens = mayHaveRun
 	}
-	b.drive(inf, in)
+	b.drive(inf, happens)
 	b.forget(inf)
 }
 
@@ -318,16 +297,20 @@
 	return b.num(b.route(inf, "first_token_target"), 1e9) + per*inf.Prompt/1000
 }
 
-// lag is how long sends wait at an engine now: the last seen, or what is out where that has waited longer.
+// lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere, or
+// what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) int64 {
-	var seen []int64
+	seen, least := false, int64(math.MaxInt64)
 	for _, s := range e.samples {
 		// 2 s: about the time that a queue takes to change.
 		if b.now-s.at < int64(2*time.Second) {
-			seen = append(seen, s.lag)
+			seen, least = true, min(least, s.lag)
 		}
 	}
-	return max(median(seen), median(l.waits))
+	if !seen {
+		return median(l.waits)
+	}
+	return max(least, median(l.waits))
 }
 
 func median(row []int64) int64 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -98,8 +98,11 @@
 	input uint8
 )
 
-// rule is one line of the table: the next state, and the effect, which may feed a further input.
+// rule is one line of the table: from these states, one of these inputs leads to the next state and has the
+// effect, which may feed a further input.
 type rule struct {
+	from   []state
+	inputs []input
 	next   state
 	effect func(*Brain, *inference) input
 }
