--- a/brain/brain.go
+++ b/brain/brain.go
@@ -345,7 +345,7 @@
 			return ready[i]
 		}
 	}
-	const margin = 0.75 // the design's starting value
+	const margin = 3 // try
 	total, weights := 1.0, 0.0
 	for _, e := range ready {
 		total += float64(loads[e.Engine].reads)
