--- a/brain/brain.go
+++ b/brain/brain.go
@@ -345,7 +345,7 @@
 			return ready[i]
 		}
 	}
-	const margin = 3 // try
+	const margin = 0.75 // the design's starting value; 1.5 and 3 did no better
 	total, weights := 1.0, 0.0
 	for _, e := range ready {
 		total += float64(loads[e.Engine].reads)
@@ -491,9 +491,9 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	usual := median(lags)
+	slices.Sort(lags)
 	for _, e := range fit {
-		if b.healthy(inf, e, loads[e.Engine], usual) {
+		if b.healthy(inf, e, loads[e.Engine], lags[0]) {
 			well = append(well, e)
 		}
 	}
@@ -506,9 +506,9 @@
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps an
 // engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. It harms
 // when a whole fleet is busy, as lags then look like trouble; so the signs are measured against other engines.
-func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
-	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
-	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
+func (b *Brain) healthy(inf *inference, e *engine, l load, least int64) bool {
+	// A quarter of the target over the least lag: noise seldom makes that; slow, silent and crowded engines do.
+	if lag := b.lag(e, l); float64(lag-least) > b.target(inf)/4 {
 		return false
 	}
 	n := 0
