--- a/brain/brain.go
+++ b/brain/brain.go
@@ -339,23 +339,27 @@
 	if len(ready) == 0 {
 		return nil
 	}
-	// 30 s: the design's starting value.
-	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
-		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader }); i >= 0 {
-			return ready[i]
-		}
-	}
 	const margin = 0.75 // the design's starting value; 1.5 and 3 did no better
+	// Other nodes' load shows only as lag, so capacity is weight against lag; 100 ms is about a read's own time.
+	capacity := func(e *engine) float64 {
+		return e.Weight / float64(b.lag(e, loads[e.Engine])+int64(100*time.Millisecond))
+	}
 	total, weights := 1.0, 0.0
 	for _, e := range ready {
 		total += float64(loads[e.Engine].reads)
-		weights += e.Weight
+		weights += capacity(e)
 	}
 	load := func(e *engine) int { return loads[e.Engine].reads }
 	under := func(e *engine) bool {
-		return float64(load(e)) < math.Ceil((1+margin)*total*e.Weight/weights)
+		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
+	// 30 s: the design's starting value.
+	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
+		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader && under(e) }); i >= 0 {
+			return ready[i]
+		}
+	}
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
 		func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y)) }); e != nil {
 		return e
@@ -491,9 +495,9 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	slices.Sort(lags)
+	usual := median(lags)
 	for _, e := range fit {
-		if b.healthy(inf, e, loads[e.Engine], lags[0]) {
+		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
 		}
 	}
@@ -506,9 +510,9 @@
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps an
 // engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. It harms
 // when a whole fleet is busy, as lags then look like trouble; so the signs are measured against other engines.
-func (b *Brain) healthy(inf *inference, e *engine, l load, least int64) bool {
-	// A quarter of the target over the least lag: noise seldom makes that; slow, silent and crowded engines do.
-	if lag := b.lag(e, l); float64(lag-least) > b.target(inf)/4 {
+func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
+	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
+	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
 		return false
 	}
 	n := 0
