--- a/brain/brain.go
+++ b/brain/brain.go
@@ -340,9 +340,16 @@
 		return nil
 	}
 	const margin = 0.75 // the design's starting value; 1.5 and 3 did no better
-	// Other nodes' load shows only as lag, so capacity is weight against lag; 100 ms is about a read's own time.
+	// 30 s: the design's starting value.
+	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
+		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader }); i >= 0 {
+			return ready[i]
+		}
+	}
+	// Capacity is the weight. What other nodes load shows only as lag, so past a fifth of the target, which calm
+	// reads stay under, it falls as lag grows.
 	capacity := func(e *engine) float64 {
-		return e.Weight / float64(b.lag(e, loads[e.Engine])+int64(100*time.Millisecond))
+		return e.Weight / max(float64(b.lag(e, loads[e.Engine])), b.target(inf)/5)
 	}
 	total, weights := 1.0, 0.0
 	for _, e := range ready {
@@ -354,12 +361,6 @@
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
-	// 30 s: the design's starting value.
-	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
-		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader && under(e) }); i >= 0 {
-			return ready[i]
-		}
-	}
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
 		func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y)) }); e != nil {
 		return e
