--- a/brain/brain.go
+++ b/brain/brain.go
@@ -176,7 +176,7 @@
 	case out, !e.Ready, !b.coldRoom(e):
 		return noWriter
 	}
-	e.sent = last(e.sent, b.now, 32)
+	e.sent = last(e.sent, b.now, 64)
 	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: writes, out: true})
 	b.effects = append(b.effects, Send{inf.Inf, e.Engine, patience})
 	return nothing
@@ -301,7 +301,7 @@
 // what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) int64 {
 	seen, least := false, int64(math.MaxInt64)
-	for _, s := range e.samples {
+	for _, s := range e.samples[max(0, len(e.samples)-8):] {
 		// 2 s: about the time that a queue takes to change.
 		if b.now-s.at < int64(2*time.Second) {
 			seen, least = true, min(least, s.lag)
@@ -566,7 +566,7 @@
 	if e == nil {
 		return
 	}
-	e.samples = last(e.samples, sample{b.now, lag}, 8)
+	e.samples = last(e.samples, sample{b.now, lag}, 64)
 	// An engine that failed and said nothing good for 3 s, longer than any jam, may have started anew unseen.
 	if e.trial && b.now-e.goodAt > int64(3*time.Second) {
 		e.coldFrom = b.now
@@ -574,13 +574,31 @@
 	e.trial, e.goodAt = false, b.now
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over: one send a window from each node. Budgets
-// count every window of that length, and a window's budget is at least cold share x multiple x window of work.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role has
+// done for this node lately is less than an engine can do for it, so if each node keeps to half of the cold
+// share of that, all together keep to half of the budget. A node that has seen nothing sends one a window.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
 		return true
 	}
-	return len(e.sent) == 0 || b.now-e.sent[len(e.sent)-1] > int64(b.num("rules.fall_window", 0))
+	const span = int64(4 * time.Second) // long enough to count some, short enough to be of now
+	window, used, most := int64(b.num("rules.fall_window", 1e9)), 0, 0
+	for _, at := range e.sent {
+		if b.now-at <= window {
+			used++
+		}
+	}
+	for _, id := range b.ids {
+		o, done := b.engines[id], 0
+		for _, s := range o.samples {
+			if b.now-s.at < span && o.reader == e.reader && o.writer == e.writer {
+				done++
+			}
+		}
+		most = max(most, done)
+	}
+	room := 0.5 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * float64(most) * float64(window) / float64(span)
+	return used < max(1, int(room))
 }
 
 // loads counts what this node has open at each engine.
