--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,20 +43,23 @@
 	hopeless         // it cannot be in time
 )
 
-var open, all = []state{taken, reading, held, writing}, []state{taken, reading, held, writing, streaming, ended}
+var (
+	open = []state{taken, reading, held, writing}
+	all  = append(open[:len(open):len(open)], streaming, ended)
+)
 
 // table lists, for the states in the first column, what an input leads to: the next state and the effect.
 var table = []rule{
 	{is(taken), in(arrive), taken, (*Brain).admit},
 	{is(taken), in(admitted, wake), reading, (*Brain).sendToReader},
-	{is(reading), in(readLost), reading, (*Brain).sendToReader},
+	{is(reading), in(readLost, notWritten, mayHaveRun, stateGone), reading, (*Brain).sendToReader},
 	{is(reading), in(noReader, noWriter), taken, (*Brain).wait},
 	{is(reading), in(readDone), writing, (*Brain).sendToWriter},
 	{is(held), in(wake), writing, (*Brain).sendToWriter},
 	{is(writing), in(notWritten, mayHaveRun), writing, (*Brain).sendToWriter},
 	{is(writing), in(noWriter), held, (*Brain).wait},
 	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
-	{is(writing), in(firstToken), streaming, nil},
+	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
 	{all, in(clientGone, over), ended, (*Brain).letGo},
 	// What comes after the end still lets go of what is held.
@@ -137,7 +140,8 @@
 		return
 	}
 	s := &inf.sends[o.Send]
-	s.out, inf.freeAt, inf.last = false, b.now, o
+	s.out, inf.freeAt = false, b.now
+	s.kept = o.Verdict == ReadDone
 	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
 	b.learnOutcome(inf, s, o)
 	happens := over
@@ -168,23 +172,25 @@
 // ---- gates: every send and every final answer passes one of these, which check the rules
 
 // gate sends to an engine if the rules allow it, else says what stands against it.
-func (b *Brain) gate(inf *inference, e *engine, writes bool, patience int64) input {
+func (b *Brain) gate(inf *inference, e *engine, patience int64) input {
 	out := slices.ContainsFunc(inf.sends, func(s send) bool { return s.out })
 	switch {
-	case len(inf.sends) >= int(b.num("limits.sends", 1)), b.now >= inf.GiveUpAt-b.margin(), !b.mayRepeat(inf, e, writes):
+	case len(inf.sends) >= int(b.num("limits.sends", 1)) || !b.mayRepeat(inf, e):
+		return spent
+	case b.now >= inf.GiveUpAt-b.margin():
 		return spent
 	case out, !e.Ready, !b.coldRoom(e):
 		return noWriter
 	}
 	e.sent = last(e.sent, b.now, 64)
-	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: writes, out: true})
+	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: e.writer, out: true})
 	b.effects = append(b.effects, Send{inf.Inf, e.Engine, patience})
 	return nothing
 }
 
 // mayRepeat keeps an effect from happening twice: what may have run goes out again only as its route allows.
 // Reads have no effect.
-func (b *Brain) mayRepeat(inf *inference, e *engine, writes bool) bool {
+func (b *Brain) mayRepeat(inf *inference, e *engine) bool {
 	effect := b.word(b.route(inf, "effect"))
 	if effect == "retriable" {
 		return true
@@ -196,17 +202,10 @@
 		if effect != "deduped" || b.now-s.at >= int64(b.num(b.route(inf, "dedup_window"), 0)) {
 			return false
 		}
-		first := b.engines[s.engine]
-		switch b.word(b.route(inf, "dedup_group")) {
-		case "all":
-		case "zone":
-			if writes && (first == nil || first.Zone != e.Zone) {
-				return false
-			}
-		default:
-			if writes && (first == nil || first.Cell != e.Cell) {
-				return false
-			}
+		first, group := b.engines[s.engine], b.word(b.route(inf, "dedup_group"))
+		near := first != nil && (group == "zone" && first.Zone == e.Zone || group == "cell" && first.Cell == e.Cell)
+		if e.writer && group != "all" && !near {
+			return false
 		}
 	}
 	return true
@@ -259,14 +258,14 @@
 	b.effects = append(b.effects, ArmTimer{b.token, after})
 }
 
-// margin is how long before the client gives up the answer must go: a timer and its answer may each wait a tick.
+// margin is how long before the client gives up the answer must go: timer and answer may each wait a tick.
 func (b *Brain) margin() int64 { return 3 * int64(b.num("tick", float64(time.Millisecond))) }
 
 // ---- shedding
 
 // admit sheds at once what would not be in time: queues that only grow leave everybody late and never clear,
-// whatever filled them (too much traffic, engines lost, texts forgotten, slow engines). It harms where lags are
-// high but harmless. Streams that return after a break have begun already and are always taken.
+// whatever filled them: too much traffic, engines lost, slow or forgetful. It harms where lags are high but
+// harmless. Streams that return after a break have begun already and are always taken.
 func (b *Brain) admit(inf *inference) input {
 	loads := b.loads()
 	reader := b.pickReader(inf)
@@ -297,8 +296,8 @@
 	return b.num(b.route(inf, "first_token_target"), 1e9) + per*inf.Prompt/1000
 }
 
-// lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere, or
-// what is out where that has waited longer.
+// lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere,
+// or what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) int64 {
 	seen, least := false, int64(math.MaxInt64)
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
@@ -307,10 +306,10 @@
 			seen, least = true, min(least, s.lag)
 		}
 	}
-	if !seen {
-		return median(l.waits)
+	if seen {
+		return max(least, median(l.waits))
 	}
-	return max(least, median(l.waits))
+	return median(l.waits)
 }
 
 func median(row []int64) int64 {
@@ -329,10 +328,10 @@
 		return noReader
 	}
 	inf.reader = e.Engine
-	return b.gate(inf, e, false, 0)
+	return b.gate(inf, e, 0)
 }
 
-// pickReader is the design's ladder: the session's pair, then overlap under the cap, then hash, then least load.
+// pickReader is the design's ladder: the session's pair, overlap under the cap, hash, least load.
 func (b *Brain) pickReader(inf *inference) *engine {
 	loads := b.loads()
 	ready := b.usable(inf, loads, func(e *engine) bool { return e.reader })
@@ -407,11 +406,7 @@
 func (b *Brain) learnKept(inf *inference, reader string, keptTokens float64) {
 	prefix := keptKey{false, inf.Prefix, reader}
 	if v, ok := b.kept[prefix]; ok && inf.Prefix != "" && keptTokens < 0.5*min(v.tokens, inf.PrefixTokens) {
-		for k, old := range b.kept {
-			if k.reader == reader && old.at < inf.at {
-				delete(b.kept, k)
-			}
-		}
+		b.dropKept(reader, inf.at)
 	}
 	b.kept[keptKey{true, inf.Session, reader}] = kept{inf.Prompt, b.now}
 	if inf.Prefix != "" {
@@ -441,7 +436,7 @@
 
 func (b *Brain) sendToWriter(inf *inference) input {
 	// A non-retriable that may have run gets its error at once; so does what no engine may take again.
-	if !slices.ContainsFunc(b.ids, func(id string) bool { return b.mayRepeat(inf, b.engines[id], true) }) {
+	if !slices.ContainsFunc(b.ids, func(id string) bool { return b.mayRepeat(inf, b.engines[id]) }) {
 		return spent
 	}
 	e := b.pickWriter(inf)
@@ -452,14 +447,16 @@
 		return noWriter
 	}
 	inf.writer = e.Engine
-	return b.gate(inf, e, true, 0)
+	return b.gate(inf, e, 0)
 }
 
 // pickWriter takes the session's writer if it is valid, else the one with fewest own streams; ties go to the
 // reader's cell, then its zone, then round robin.
 func (b *Brain) pickWriter(inf *inference) *engine {
 	loads := b.loads()
-	ready := b.usable(inf, loads, func(e *engine) bool { return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e, true) })
+	ready := b.usable(inf, loads, func(e *engine) bool {
+		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e)
+	})
 	if len(ready) == 0 {
 		return nil
 	}
@@ -470,15 +467,10 @@
 	}
 	from := b.engines[inf.reader]
 	far := func(e *engine) int {
-		switch {
-		case from == nil:
-			return 0
-		case e.Cell == from.Cell:
+		if from == nil || e.Cell == from.Cell {
 			return 0
-		case e.Zone == from.Zone:
-			return 1
 		}
-		return 2
+		return 1 + min(1, max(e.Zone-from.Zone, from.Zone-e.Zone))
 	}
 	return b.roundRobin(ready, func(x, y *engine) int {
 		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
@@ -508,9 +500,9 @@
 	return fit
 }
 
-// healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps an
-// engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. It harms
-// when a whole fleet is busy, as lags then look like trouble; so the signs are measured against other engines.
+// healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps
+// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. Lags of
+// a busy fleet look like trouble too, so they are measured against other engines'.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
 	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
@@ -528,8 +520,8 @@
 	if e.trial {
 		return l.reads+l.streams == 0
 	}
-	// A send of this inference that came back from there without an outcome to build on: try another first.
-	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && s.writes == e.writer })
+	// What has come back from there once tries another first.
+	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && !s.kept })
 }
 
 // strike notes trouble with an engine.
@@ -574,9 +566,9 @@
 	e.trial, e.goodAt = false, b.now
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role has
-// done for this node lately is less than an engine can do for it, so if each node keeps to half of the cold
-// share of that, all together keep to half of the budget. A node that has seen nothing sends one a window.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
+// has done for this node lately is less than an engine can do for it, so if each node keeps to half of the
+// cold share of that, all together keep to half of the budget. Who has seen nothing sends one a window.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
 		return true
@@ -597,8 +589,8 @@
 		}
 		most = max(most, done)
 	}
-	room := 0.5 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * float64(most) * float64(window) / float64(span)
-	return used < max(1, int(room))
+	share := 0.5 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
+	return used < max(1, int(share*float64(most)*float64(window)/float64(span)))
 }
 
 // loads counts what this node has open at each engine.
@@ -643,7 +635,7 @@
 		if n.UpSince > e.UpSince {
 			// It has started anew: cold, and all that it kept is gone.
 			e.coldFrom, e.samples, e.strikes, e.trial = n.UpSince, nil, nil, false
-			b.dropKept(n.Engine)
+			b.dropKept(n.Engine, b.now)
 		}
 		if n.Weight <= 0 {
 			n.Weight = 1
@@ -655,7 +647,7 @@
 	for id, e := range b.engines {
 		if news.Whole && !seen[id] || e.Out {
 			e.Ready = false
-			b.dropKept(id)
+			b.dropKept(id, b.now)
 		}
 	}
 	b.ids = b.ids[:0]
@@ -665,9 +657,10 @@
 	slices.Sort(b.ids)
 }
 
-func (b *Brain) dropKept(reader string) {
-	for k := range b.kept {
-		if k.reader == reader {
+// dropKept forgets what a reader was known to keep before a time.
+func (b *Brain) dropKept(reader string, before int64) {
+	for k, v := range b.kept {
+		if k.reader == reader && v.at < before {
 			delete(b.kept, k)
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -54,7 +54,6 @@
 	sends   []send
 	freeAt  int64 // when the last outcome came, or the read ended
 	wakeSet bool
-	last    Outcome
 }
 
 // send is one try at one engine.
@@ -64,6 +63,7 @@
 	writes   bool
 	out      bool
 	neverRan bool
+	kept     bool // a read that ended with a state
 	began    bool
 }
 
