--- a/brain/brain.go
+++ b/brain/brain.go
@@ -360,8 +360,12 @@
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
+	// All nodes agree on a session's home among equals, so its next turn finds it from any node.
+	home := func(x, y *engine) int { return cmp.Compare(hash(inf.Session+x.Engine), hash(inf.Session+y.Engine)) }
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
-		func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y)) }); e != nil {
+		func(x, y *engine) int {
+			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), home(x, y))
+		}); e != nil {
 		return e
 	}
 	least := func(x, y *engine) int { return load(x) - load(y) }
