Shed sooner, the longer a jam lasts, what must be read in full

Cause: readers' token rate is full while the cost of a read trebles, as sessions come back after their text was pushed out. Guards against any loss of kept texts; harms where a table is empty though engines remember (a node just woken).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -284,7 +284,17 @@
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
-	if float64(b.lag(reader, loads[reader.Engine])+median(lags)) > line {
+	expected := float64(b.lag(reader, loads[reader.Engine]) + median(lags))
+	b.expects = last(b.expects, expected/b.target(inf), 48)
+	// In a lasting jam what is still kept is cheap to read, and what is not feeds the jam.
+	jam := 0.0
+	for _, e := range b.expects {
+		if e > 0.25 {
+			jam += 1.0 / 48
+		}
+	}
+	line *= 1 - 0.8*jam*(1-b.overlap(inf, reader)/max(inf.Prompt, 1))
+	if expected > line {
 		return hopeless
 	}
 	return admitted
--- a/brain/state.go
+++ b/brain/state.go
@@ -14,6 +14,7 @@
 	token   int64
 	turn    int // round robin
 	started bool
+	expects []float64 // the last expected waits, as shares of the target
 
 	kept  map[keptKey]kept
 	pairs map[string]pair
