--- a/brain/brain.go
+++ b/brain/brain.go
@@ -309,15 +309,16 @@
 // lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere,
 // or what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) int64 {
-	seen, least := false, int64(math.MaxInt64)
+	var seen []int64
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
 		// 2 s: about the time that a queue takes to change.
 		if b.now-s.at < int64(2*time.Second) {
-			seen, least = true, min(least, s.lag)
+			seen = append(seen, s.lag)
 		}
 	}
-	if seen {
-		return max(least, median(l.waits))
+	slices.Sort(seen)
+	if len(seen) > 0 {
+		return max(seen[len(seen)/4], median(l.waits))
 	}
 	return median(l.waits)
 }
