--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
@@ -81,9 +80,6 @@
 	}
 }
 
-func is(s ...state) []state { return s }
-func in(i ...input) []input { return i }
-
 // take sorts an input of the interface into inputs of the table.
 func (b *Brain) take(in Input) {
 	if !b.started {
@@ -104,8 +100,11 @@
 			s.began = true
 			b.learnLag(b.engines[in.Engine], in.Lag)
 			b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
+			b.tell(inf)
 			b.drive(inf, firstToken)
 		}
+	case PeerMessage:
+		b.hear(in.Text)
 	case Outcome:
 		b.takeOutcome(in)
 	case ClientGone:
@@ -162,13 +161,6 @@
 	b.forget(inf)
 }
 
-// forget drops an inference that has ended and has nothing out.
-func (b *Brain) forget(inf *inference) {
-	if inf.state == ended && !slices.ContainsFunc(inf.sends, func(s send) bool { return s.out }) {
-		delete(b.infs, inf.Inf)
-	}
-}
-
 // ---- gates: every send and every final answer passes one of these, which check the rules
 
 // gate sends to an engine if the rules allow it, else says what stands against it.
@@ -252,12 +244,6 @@
 	return nothing
 }
 
-func (b *Brain) arm(inf *inference, in input, after int64) {
-	b.token++
-	b.timers[b.token] = timer{inf.Inf, in}
-	b.effects = append(b.effects, ArmTimer{b.token, after})
-}
-
 // margin is how long before the client gives up the answer must go: timer and answer may each wait a tick.
 func (b *Brain) margin() int64 { return 3 * int64(b.num("tick", float64(time.Millisecond))) }
 
@@ -309,28 +295,19 @@
 // lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere,
 // or what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) int64 {
-	var seen []int64
+	seen, least := false, int64(math.MaxInt64)
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
 		// 2 s: about the time that a queue takes to change.
 		if b.now-s.at < int64(2*time.Second) {
-			seen = append(seen, s.lag)
+			seen, least = true, min(least, s.lag)
 		}
 	}
-	slices.Sort(seen)
-	if len(seen) > 0 {
-		return max(seen[len(seen)/4], median(l.waits))
+	if seen {
+		return max(least, median(l.waits))
 	}
 	return median(l.waits)
 }
 
-func median(row []int64) int64 {
-	if len(row) == 0 {
-		return 0
-	}
-	slices.Sort(row)
-	return row[len(row)/2]
-}
-
 // ---- readers
 
 func (b *Brain) sendToReader(inf *inference) input {
@@ -447,6 +424,26 @@
 	}
 }
 
+// tell lets the other nodes know where a session's text is kept, where messages are allowed: a front spreads the
+// turns of a session over all nodes. Lost messages cost one read in full.
+func (b *Brain) tell(inf *inference) {
+	if b.flag("limits.peers") && b.num("nodes", 1) > 1 {
+		text := fmt.Sprintf("kept %q %q %q %.0f", inf.Session, inf.reader, inf.writer, inf.Prompt)
+		b.effects = append(b.effects, Tell{-1, text})
+	}
+}
+
+func (b *Brain) hear(text string) {
+	var session, reader, writer string
+	var tokens float64
+	_, err := fmt.Sscanf(text, "kept %q %q %q %f", &session, &reader, &writer, &tokens)
+	if err != nil || b.engines[reader] == nil {
+		return // of another version, or of an engine that this node does not know
+	}
+	b.pairs[session] = pair{reader, writer, b.now}
+	b.kept[keptKey{true, session, reader}] = kept{tokens, b.now}
+}
+
 // ---- writers
 
 func (b *Brain) sendToWriter(inf *inference) input {
@@ -608,28 +605,6 @@
 	return used < max(1, int(share*float64(most)*float64(window)/float64(span)))
 }
 
-// loads counts what this node has open at each engine.
-func (b *Brain) loads() map[string]load {
-	loads := map[string]load{}
-	for _, inf := range b.infs {
-		for _, s := range inf.sends {
-			if s.out {
-				l := loads[s.engine]
-				if s.writes {
-					l.streams++
-				} else {
-					l.reads++
-				}
-				if !s.began {
-					l.waits = append(l.waits, b.now-s.at)
-				}
-				loads[s.engine] = l
-			}
-		}
-	}
-	return loads
-}
-
 func (b *Brain) learnEngines(news EngineNews) {
 	if news.Failed {
 		b.token++
@@ -672,15 +647,6 @@
 	slices.Sort(b.ids)
 }
 
-// dropKept forgets what a reader was known to keep before a time.
-func (b *Brain) dropKept(reader string, before int64) {
-	for k, v := range b.kept {
-		if k.reader == reader && v.at < before {
-			delete(b.kept, k)
-		}
-	}
-}
-
 // watch asks discovery for news where it does not come by itself.
 func (b *Brain) watch() {
 	if b.word("discovery") == "watch" {
@@ -688,19 +654,6 @@
 	}
 }
 
-// ---- small things
-
-// best is the first of the least by order among those that fit.
-func best(row []*engine, fits func(*engine) bool, order func(x, y *engine) int) *engine {
-	var found *engine
-	for _, e := range row {
-		if fits(e) && (found == nil || order(e, found) < 0) {
-			found = e
-		}
-	}
-	return found
-}
-
 // roundRobin takes turns among those that tie for the least.
 func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
 	least := slices.MinFunc(row, order)
@@ -713,30 +666,3 @@
 	b.turn++
 	return tied[b.turn%len(tied)]
 }
-
-func hash(text string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(text))
-	return h.Sum64()
-}
-
-// chance is the next number of this instance between 0 and 1.
-func (b *Brain) chance() float64 {
-	b.draws++
-	return float64(hash(fmt.Sprint(b.seed, b.draws))>>11) / (1 << 53)
-}
-
-func (b *Brain) route(inf *inference, name string) string {
-	return fmt.Sprintf("routes.%d.%s", inf.Route, name)
-}
-
-func (b *Brain) num(name string, absent float64) float64 {
-	if v, ok := b.facts[name].(float64); ok {
-		return v
-	}
-	return absent
-}
-
-func (b *Brain) word(name string) string { v, _ := b.facts[name].(string); return v }
-
-func (b *Brain) flag(name string) bool { v, _ := b.facts[name].(bool); return v }
--- /dev/null
+++ b/brain/help.go
@@ -0,0 +1,103 @@
+package brain
+
+// Helpers without a decision: facts by name, chance, counting and sorting.
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+)
+
+func median(row []int64) int64 {
+	if len(row) == 0 {
+		return 0
+	}
+	slices.Sort(row)
+	return row[len(row)/2]
+}
+
+// best is the first of the least by order among those that fit.
+func best(row []*engine, fits func(*engine) bool, order func(x, y *engine) int) *engine {
+	var found *engine
+	for _, e := range row {
+		if fits(e) && (found == nil || order(e, found) < 0) {
+			found = e
+		}
+	}
+	return found
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// chance is the next number of this instance between 0 and 1.
+func (b *Brain) chance() float64 {
+	b.draws++
+	return float64(hash(fmt.Sprint(b.seed, b.draws))>>11) / (1 << 53)
+}
+
+func (b *Brain) route(inf *inference, name string) string {
+	return fmt.Sprintf("routes.%d.%s", inf.Route, name)
+}
+
+func (b *Brain) num(name string, absent float64) float64 {
+	if v, ok := b.facts[name].(float64); ok {
+		return v
+	}
+	return absent
+}
+
+func (b *Brain) word(name string) string { v, _ := b.facts[name].(string); return v }
+
+func (b *Brain) flag(name string) bool { v, _ := b.facts[name].(bool); return v }
+
+func is(s ...state) []state { return s }
+
+func in(i ...input) []input { return i }
+
+func (b *Brain) arm(inf *inference, in input, after int64) {
+	b.token++
+	b.timers[b.token] = timer{inf.Inf, in}
+	b.effects = append(b.effects, ArmTimer{b.token, after})
+}
+
+// forget drops an inference that has ended and has nothing out.
+func (b *Brain) forget(inf *inference) {
+	if inf.state == ended && !slices.ContainsFunc(inf.sends, func(s send) bool { return s.out }) {
+		delete(b.infs, inf.Inf)
+	}
+}
+
+// loads counts what this node has open at each engine.
+func (b *Brain) loads() map[string]load {
+	loads := map[string]load{}
+	for _, inf := range b.infs {
+		for _, s := range inf.sends {
+			if s.out {
+				l := loads[s.engine]
+				if s.writes {
+					l.streams++
+				} else {
+					l.reads++
+				}
+				if !s.began {
+					l.waits = append(l.waits, b.now-s.at)
+				}
+				loads[s.engine] = l
+			}
+		}
+	}
+	return loads
+}
+
+// dropKept forgets what a reader was known to keep before a time.
+func (b *Brain) dropKept(reader string, before int64) {
+	for k, v := range b.kept {
+		if k.reader == reader && v.at < before {
+			delete(b.kept, k)
+		}
+	}
+}
