--- a/brain/brain.go
+++ b/brain/brain.go
@@ -348,11 +348,23 @@
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
-	// All nodes agree on a session's home among equals, so its next turn finds it from any node.
-	home := func(x, y *engine) int { return cmp.Compare(hash(inf.Session+x.Engine), hash(inf.Session+y.Engine)) }
+	// Nodes that may not tell each other do not know a session's earlier reader. Then a session unknown here
+	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes to.
+	// Two share a much used beginning; with three or all readers each would keep a copy of everything.
+	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
+	if b.num("nodes", 1) > 1 && !b.flag("limits.peers") && !slices.ContainsFunc(ready, known) {
+		homes := slices.Clone(ready)
+		slices.SortFunc(homes, byHash(inf.Prefix))
+		if inf.Prefix != "" {
+			homes = homes[:min(2, len(homes))]
+		}
+		if e := slices.MinFunc(homes, byHash(inf.Session)); under(e) {
+			return e
+		}
+	}
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
 		func(x, y *engine) int {
-			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), home(x, y))
+			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), byHash(inf.Session)(x, y))
 		}); e != nil {
 		return e
 	}
@@ -424,8 +436,8 @@
 	}
 }
 
-// tell lets the other nodes know where a session's text is kept, where messages are allowed: a front spreads the
-// turns of a session over all nodes. Lost messages cost one read in full.
+// tell lets the other nodes know where a session's text is kept, where messages are allowed: a front spreads
+// the turns of a session over all nodes. Lost messages cost one read in full.
 func (b *Brain) tell(inf *inference) {
 	if b.flag("limits.peers") && b.num("nodes", 1) > 1 {
 		text := fmt.Sprintf("kept %q %q %q %.0f", inf.Session, inf.reader, inf.writer, inf.Prompt)
@@ -513,8 +525,8 @@
 }
 
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps
-// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. Lags of
-// a busy fleet look like trouble too, so they are measured against other engines'.
+// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. A busy
+// fleet's lags look like trouble too, so they are measured against other engines'.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
 	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
--- a/brain/help.go
+++ b/brain/help.go
@@ -3,6 +3,7 @@
 // Helpers without a decision: facts by name, chance, counting and sorting.
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -33,6 +34,11 @@
 	return h.Sum64()
 }
 
+// byHash orders engines by key and id, the same at all nodes.
+func byHash(key string) func(x, y *engine) int {
+	return func(x, y *engine) int { return cmp.Compare(hash(key+x.Engine), hash(key+y.Engine)) }
+}
+
 // chance is the next number of this instance between 0 and 1.
 func (b *Brain) chance() float64 {
 	b.draws++
