--- a/brain/brain.go
+++ b/brain/brain.go
@@ -101,6 +101,7 @@
 			b.learnLag(b.engines[in.Engine], in.Lag)
 			b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
 			b.tell(inf)
+			b.firsts = last(b.firsts, sample{b.now, b.now - inf.at - int64(b.target(inf))}, 32)
 			b.drive(inf, firstToken)
 		}
 	case PeerMessage:
@@ -271,15 +272,15 @@
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
 	expected := float64(b.lag(reader, loads[reader.Engine]) + median(lags))
-	b.expects = last(b.expects, expected/b.target(inf), 48)
-	// In a lasting jam what is still kept is cheap to read, and what is not feeds the jam.
-	jam := 0.0
-	for _, e := range b.expects {
-		if e > 0.25 {
-			jam += 1.0 / 48
+	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
+	// be read in full feeds the jam.
+	late := 0.0
+	for _, over := range b.firsts {
+		if over.at > b.now-int64(4*time.Second) && over.lag > 0 {
+			late += 1.0 / 32
 		}
 	}
-	line *= 1 - 0.8*jam*(1-b.overlap(inf, reader)/max(inf.Prompt, 1))
+	line *= 1 - late*(0.4+0.6*(1-b.overlap(inf, reader)/max(inf.Prompt, 1)))
 	if expected > line {
 		return hopeless
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -14,7 +14,7 @@
 	token   int64
 	turn    int // round robin
 	started bool
-	expects []float64 // the last expected waits, as shares of the target
+	firsts  []sample // how far over the target the last first tokens came
 
 	kept  map[keptKey]kept
 	pairs map[string]pair
