--- a/brain/brain.go
+++ b/brain/brain.go
@@ -280,7 +280,16 @@
 			late += 1.0 / 32
 		}
 	}
-	line *= 1 - late*(0.4+0.6*(1-b.overlap(inf, reader)/max(inf.Prompt, 1)))
+	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
+	line *= 1 - late*(0.4+0.6*unread)
+	b.expects = last(b.expects, expected/b.target(inf), 48)
+	jam := 0.0
+	for _, e := range b.expects {
+		if e > 0.25 {
+			jam += 1.0 / 48
+		}
+	}
+	line *= 1 - 0.6*jam*unread
 	if expected > line {
 		return hopeless
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -14,6 +14,7 @@
 	token   int64
 	turn    int // round robin
 	started bool
+	expects []float64
 	firsts  []sample // how far over the target the last first tokens came
 
 	kept  map[keptKey]kept
