--- a/brain/brain.go
+++ b/brain/brain.go
@@ -271,7 +271,7 @@
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
-	expected := float64(b.lag(reader, loads[reader.Engine]) + median(lags))
+	expected := float64(b.lag(reader, loads[reader.Engine]) + quantile(lags, 4))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
 	late := 0.0
@@ -313,9 +313,9 @@
 		}
 	}
 	if seen {
-		return max(least, median(l.waits))
+		return max(least, quantile(l.waits, 2))
 	}
-	return median(l.waits)
+	return quantile(l.waits, 2)
 }
 
 // ---- readers
@@ -522,7 +522,7 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	usual := median(lags)
+	usual := quantile(lags, 4) // of the quicker half: two of four may be sick at once
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
--- a/brain/help.go
+++ b/brain/help.go
@@ -9,12 +9,13 @@
 	"slices"
 )
 
-func median(row []int64) int64 {
+// quantile is the value that one in n lie under, 0 of none.
+func quantile(row []int64, n int) int64 {
 	if len(row) == 0 {
 		return 0
 	}
 	slices.Sort(row)
-	return row[len(row)/2]
+	return row[len(row)/n]
 }
 
 // best is the first of the least by order among those that fit.
