--- a/brain/brain.go
+++ b/brain/brain.go
@@ -271,7 +271,7 @@
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
-	expected := float64(b.lag(reader, loads[reader.Engine]) + quantile(lags, 4))
+	expected := float64(b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
 	late := 0.0
@@ -522,7 +522,12 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	usual := quantile(lags, 4) // of the quicker half: two of four may be sick at once
+	// Half the writers may be sick at once, so a quarter's lag is usual there. To leave a reader costs what it
+	// keeps: there the median is.
+	usual := quantile(lags, 2)
+	if len(fit) > 0 && !fit[0].reader {
+		usual = quantile(lags, 4)
+	}
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
