--- a/brain/brain.go
+++ b/brain/brain.go
@@ -141,6 +141,9 @@
 	}
 	s := &inf.sends[o.Send]
 	s.out, inf.freeAt = false, b.now
+	if e, share := b.engines[o.Engine], o.Report["memory_share"]; e != nil && share > 0 {
+		e.memory, e.reportAt = share, b.now
+	}
 	s.kept = o.Verdict == ReadDone
 	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
 	b.learnOutcome(inf, s, o)
@@ -271,7 +274,14 @@
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
-	expected := float64(b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
+	// States that wait here for a writer tell more than any lag.
+	var waits []int64
+	for _, other := range b.infs {
+		if other.state == held {
+			waits = append(waits, b.now-other.freeAt)
+		}
+	}
+	expected := float64(quantile(waits, 2) + b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
 	late := 0.0
@@ -489,7 +499,7 @@
 func (b *Brain) pickWriter(inf *inference) *engine {
 	loads := b.loads()
 	ready := b.usable(inf, loads, func(e *engine) bool {
-		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e)
+		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e) && b.hasRoom(inf, e, loads[e.Engine])
 	})
 	if len(ready) == 0 {
 		return nil
@@ -511,6 +521,18 @@
 	})
 }
 
+// hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It goes
+// by a report of the last second and what was sent since, else by this node's own part, as if all nodes sent
+// alike. Wrong reports cost a wait, never an inference: a state that has waited long enough goes anyway.
+func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
+	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
+	used := l.tokens * b.num("nodes", 1)
+	if b.now-e.reportAt < int64(time.Second) {
+		used = e.memory*memory + l.unseen
+	}
+	return memory == 0 || l.streams == 0 || used+inf.Prompt < 0.95*memory
+}
+
 // ---- engines
 
 // usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
--- a/brain/state.go
+++ b/brain/state.go
@@ -31,6 +31,8 @@
 	trial          bool     // struck, and nothing good seen since
 	coldFrom       int64    // when it was last seen to start; 0 for long ago
 	fullUntil      int64
+	memory         float64 // share held, by the last report
+	reportAt       int64
 	goodAt         int64 // when it last did well
 }
 
@@ -43,6 +45,7 @@
 // load is what a node has open at one engine.
 type load struct {
 	reads, streams int
+	tokens, unseen float64 // of prompts at the writer, and of those a report may not count yet
 	waits          []int64 // how long its unanswered sends have waited
 }
 
--- a/simwire/wire.go
+++ b/simwire/wire.go
@@ -154,13 +154,13 @@
 		ev.Input = brain.ClientGone{Inf: r.Call}
 	case "response":
 		ev.Input = brain.Outcome{Inf: r.Call, Send: r.SeqNo, Engine: r.Engine, Verdict: verdict,
-			Lag: r.Lag * 1000, Ended: r.Ended, Note: r.Note, Report: r.Telemetry}
+			Lag: r.Lag * 1000, Ended: r.Ended, Note: r.Note, Report: report(r.Telemetry)}
 	case "flowing":
 		ev.Input = brain.FirstToken{Inf: r.Call, Send: r.SeqNo, Engine: r.Engine, Lag: r.Lag * 1000}
 	case "ring":
 		ev.Input = brain.TimerDue{Token: r.Ctx}
 	case "ping_result":
-		ev.Input = brain.ProbeResult{Engine: r.Engine, Verdict: verdict, Lag: r.Lag * 1000, Report: r.Telemetry}
+		ev.Input = brain.ProbeResult{Engine: r.Engine, Verdict: verdict, Lag: r.Lag * 1000, Report: report(r.Telemetry)}
 	case "peer_data":
 		ev.Input = brain.PeerMessage{From: r.Author, Text: r.Content}
 	case "reserved":
@@ -169,6 +169,20 @@
 	return ev, nil
 }
 
+// reports maps the wire's names of load figures to the users' words.
+var reports = map[string]string{"x0": "memory_share", "x1": "waiting_thousand_tokens"}
+
+func report(telemetry map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for name, v := range telemetry {
+		if w, ok := reports[name]; ok {
+			name = w
+		}
+		out[name] = v
+	}
+	return out
+}
+
 // Action is one action of a reply.
 type Action struct {
 	T        string  `json:"t"`
