--- a/brain/brain.go
+++ b/brain/brain.go
@@ -353,11 +353,7 @@
 			return ready[i]
 		}
 	}
-	// Capacity is the weight. What other nodes load shows only as lag, so past a fifth of the target, which calm
-	// reads stay under, it falls as lag grows.
-	capacity := func(e *engine) float64 {
-		return e.Weight / max(float64(b.lag(e, loads[e.Engine])), b.target(inf)/5)
-	}
+	capacity := func(e *engine) float64 { return b.capacity(inf, e, loads[e.Engine]) }
 	total, weights := 1.0, 0.0
 	for _, e := range ready {
 		total += float64(loads[e.Engine].reads)
@@ -405,6 +401,12 @@
 	return b.roundRobin(ready, least)
 }
 
+// capacity is the weight that the operator gives. What other nodes load, and what is slow, shows only as lag, so
+// past a fifth of the target, which calm sends stay under, it falls as lag grows.
+func (b *Brain) capacity(inf *inference, e *engine, l load) float64 {
+	return e.Weight / max(1, 5*float64(b.lag(e, l))/b.target(inf))
+}
+
 // overlap is how much of the prompt a reader is thought to keep; under a fifth counts as none.
 func (b *Brain) overlap(inf *inference, e *engine) float64 {
 	// Five minutes: engines keep texts until memory runs out, which no node sees; kept counts correct the rest.
@@ -505,7 +507,8 @@
 		return nil
 	}
 	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
-		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.writer }); i >= 0 {
+		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.writer }); i >= 0 &&
+			float64(b.lag(ready[i], loads[p.writer])) < b.target(inf)/3 {
 			return ready[i]
 		}
 	}
@@ -516,8 +519,12 @@
 		}
 		return 1 + min(1, max(e.Zone-from.Zone, from.Zone-e.Zone))
 	}
+	streams := func(e *engine) float64 {
+		l := loads[e.Engine]
+		return float64(1+l.streams) * e.Weight / b.capacity(inf, e, l)
+	}
 	return b.roundRobin(ready, func(x, y *engine) int {
-		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
+		return cmp.Or(cmp.Compare(streams(x), streams(y)), far(x)-far(y))
 	})
 }
 
@@ -544,12 +551,7 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	// Half the writers may be sick at once, so a quarter's lag is usual there. To leave a reader costs what it
-	// keeps: there the median is.
 	usual := quantile(lags, 2)
-	if len(fit) > 0 && !fit[0].reader {
-		usual = quantile(lags, 4)
-	}
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
