--- a/brain/brain.go
+++ b/brain/brain.go
@@ -528,16 +528,21 @@
 	})
 }
 
-// hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It goes
-// by a report of the last second and what was sent since, else by this node's own part, as if all nodes sent
-// alike. Wrong reports cost a wait, never an inference: a state that has waited long enough goes anyway.
+// hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It
+// goes by a report of the last second and what was sent since; without one there is room.
 func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
 	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
-	used := l.tokens * b.num("nodes", 1)
-	if b.now-e.reportAt < int64(time.Second) {
-		used = e.memory*memory + l.unseen
+	if memory == 0 || b.now-e.reportAt > int64(time.Second) {
+		return true
+	}
+	sent := inf.Prompt
+	for _, p := range l.sent {
+		// Reports are refreshed and travel for about half a second.
+		if p.at > e.reportAt-int64(500*time.Millisecond) {
+			sent += p.tokens
+		}
 	}
-	return memory == 0 || l.streams == 0 || used+inf.Prompt < 0.95*memory
+	return e.memory*memory+sent < 0.95*memory
 }
 
 // ---- engines
