--- a/brain/help.go
+++ b/brain/help.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"time"
 )
 
 // quantile is the value that one in n lie under, 0 of none.
@@ -87,7 +88,10 @@
 				l := loads[s.engine]
 				if s.writes {
 					l.streams++
-					l.sent = append(l.sent, sentPrompt{s.at, inf.Prompt})
+					l.tokens += inf.Prompt
+					if s.at > b.engines[s.engine].reportAt-int64(500*time.Millisecond) {
+						l.unseen += inf.Prompt
+					}
 				} else {
 					l.reads++
 				}
--- a/brain/state.go
+++ b/brain/state.go
@@ -45,16 +45,10 @@
 // load is what a node has open at one engine.
 type load struct {
 	reads, streams int
-	sent           []sentPrompt
+	tokens, unseen float64 // of prompts at the writer, and of those a report may not count yet
 	waits          []int64 // how long its unanswered sends have waited
 }
 
-// sentPrompt is a prompt that a writer was sent.
-type sentPrompt struct {
-	at     int64
-	tokens float64
-}
-
 // inference is one inference that this node has taken.
 type inference struct {
 	Arrival
