--- a/brain/brain.go
+++ b/brain/brain.go
@@ -537,7 +537,7 @@
 	if b.now-e.reportAt < int64(time.Second) {
 		used = e.memory*memory + l.unseen
 	}
-	return memory == 0 || l.streams == 0 || used+inf.Prompt < 0.95*memory
+	return memory == 0 || l.streams == 0 || used+inf.Prompt < 1.2*memory
 }
 
 // ---- engines
@@ -551,12 +551,7 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	// Half the writers may be sick at once, so a quarter's lag is usual there. To leave a reader costs what it
-	// keeps: there the median is.
 	usual := quantile(lags, 2)
-	if len(fit) > 0 && !fit[0].reader {
-		usual = quantile(lags, 4)
-	}
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
@@ -573,7 +568,7 @@
 // fleet's lags look like trouble too, so they are measured against other engines'.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
-	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 && float64(b.longLag(e, l)) > b.target(inf)/3 {
+	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
 		return false
 	}
 	n := 0
@@ -592,17 +587,6 @@
 	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && !s.kept })
 }
 
-// longLag tells a sick engine from one whose queue swings.
-func (b *Brain) longLag(e *engine, l load) int64 {
-	seen := slices.Clone(l.waits)
-	for _, s := range e.samples {
-		if b.now-s.at < int64(5*time.Second) {
-			seen = append(seen, s.lag)
-		}
-	}
-	return quantile(seen, 2)
-}
-
 // strike notes trouble with an engine.
 func (b *Brain) strike(e *engine) {
 	if len(e.strikes) == 0 || b.now-e.strikes[len(e.strikes)-1] > int64(500*time.Millisecond) {
