Keep writers within their memory by reports or the node's own part

Guards against any writer that fills: slow, lost siblings, long answers. Harms where reports lie high: states then wait up to the pin limit and are shed.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -519,25 +519,24 @@
 		}
 		return 1 + min(1, max(e.Zone-from.Zone, from.Zone-e.Zone))
 	}
-	streams := func(e *engine) float64 {
-		l := loads[e.Engine]
-		return float64(1+l.streams) * e.Weight / b.capacity(inf, e, l)
-	}
 	return b.roundRobin(ready, func(x, y *engine) int {
-		return cmp.Or(cmp.Compare(streams(x), streams(y)), far(x)-far(y))
+		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
 	})
 }
 
-// hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It goes
-// by a report of the last second and what was sent since, else by this node's own part, as if all nodes sent
-// alike. Wrong reports cost a wait, never an inference: a state that has waited long enough goes anyway.
+// Reports travel and are refreshed for about half a second; what was sent since then is not in them.
+const reportDelay = int64(500 * time.Millisecond)
+
+// hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It
+// goes by a report of the last second and what was sent since; else, as when a slow writer seldom answers, by
+// this node's own part, as if all nodes sent alike. A wrong guess costs a wait. 1.05: reports are noisy.
 func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
 	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
 	used := l.tokens * b.num("nodes", 1)
 	if b.now-e.reportAt < int64(time.Second) {
 		used = e.memory*memory + l.unseen
 	}
-	return memory == 0 || l.streams == 0 || used+inf.Prompt < 1.2*memory
+	return memory == 0 || l.streams == 0 || used+inf.Prompt < 1.05*memory
 }
 
 // ---- engines
--- a/brain/help.go
+++ b/brain/help.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
-	"time"
 )
 
 // quantile is the value that one in n lie under, 0 of none.
@@ -89,7 +88,7 @@
 				if s.writes {
 					l.streams++
 					l.tokens += inf.Prompt
-					if s.at > b.engines[s.engine].reportAt-int64(500*time.Millisecond) {
+					if s.at > b.engines[s.engine].reportAt-reportDelay {
 						l.unseen += inf.Prompt
 					}
 				} else {
