--- a/brain/api.go
+++ b/brain/api.go
@@ -177,3 +177,47 @@
 	b.take(in)
 	return b.effects
 }
+
+// take hands an input to the decisions.
+func (b *Brain) take(in Input) {
+	if !b.started {
+		b.started = true
+		b.watch()
+	}
+	switch in := in.(type) {
+	case EngineNews:
+		b.learnEngines(in)
+	case Arrival:
+		b.infs[in.Inf] = &inference{Arrival: in, at: b.now}
+		b.arm(b.infs[in.Inf], timeUp, max(0, in.GiveUpAt-b.now-b.margin()))
+		b.drive(b.infs[in.Inf], arrive)
+	case FirstToken:
+		if inf := b.infs[in.Inf]; inf != nil && in.Send >= 0 && in.Send < len(inf.sends) {
+			b.takeFirst(inf, in)
+		}
+	case PeerMessage:
+		b.hear(in.Text)
+	case Outcome:
+		b.takeOutcome(in)
+	case ClientGone:
+		if inf := b.infs[in.Inf]; inf != nil {
+			b.drive(inf, clientGone)
+			b.forget(inf)
+		}
+	case TimerDue:
+		t, ok := b.timers[in.Token]
+		delete(b.timers, in.Token)
+		if !ok {
+			return
+		}
+		if t.inf < 0 {
+			b.watch()
+		} else if inf := b.infs[t.inf]; inf != nil {
+			if t.input == wake {
+				inf.wakeSet = false
+			}
+			b.drive(inf, t.input)
+			b.forget(inf)
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,7 @@
 	spent            // no further send is allowed
 	admitted         // it can be in time
 	hopeless         // it cannot be in time
+	overtaken        // its engine has answered what was sent later
 )
 
 var (
@@ -59,6 +60,8 @@
 	{is(writing), in(noWriter), held, (*Brain).wait},
 	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
 	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
+	{is(reading), in(overtaken), reading, (*Brain).withdraw},
+	{is(writing), in(overtaken), writing, (*Brain).withdraw},
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
 	{all, in(clientGone, over), ended, (*Brain).letGo},
 	// What comes after the end still lets go of what is held.
@@ -80,57 +83,17 @@
 	}
 }
 
-// take sorts an input of the interface into inputs of the table.
-func (b *Brain) take(in Input) {
-	if !b.started {
-		b.started = true
-		b.watch()
-	}
-	switch in := in.(type) {
-	case EngineNews:
-		b.learnEngines(in)
-	case Arrival:
-		inf := &inference{Arrival: in, at: b.now}
-		b.infs[in.Inf] = inf
-		b.arm(inf, timeUp, max(0, in.GiveUpAt-b.now-b.margin()))
-		b.drive(inf, arrive)
-	case FirstToken:
-		if inf := b.infs[in.Inf]; inf != nil && in.Send < len(inf.sends) {
-			s := &inf.sends[in.Send]
-			s.began = true
-			b.learnLag(b.engines[in.Engine], in.Lag)
-			b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
-			b.tell(inf)
-			b.firsts = last(b.firsts, sample{b.now, b.now - inf.at - int64(b.target(inf))}, 32)
-			b.drive(inf, firstToken)
-		}
-	case PeerMessage:
-		b.hear(in.Text)
-	case Outcome:
-		b.takeOutcome(in)
-	case ClientGone:
-		if inf := b.infs[in.Inf]; inf != nil {
-			b.drive(inf, clientGone)
-			b.forget(inf)
-		}
-	case TimerDue:
-		t, ok := b.timers[in.Token]
-		delete(b.timers, in.Token)
-		if !ok {
-			return
-		}
-		if t.inf < 0 {
-			b.watch()
-		} else if inf := b.infs[t.inf]; inf != nil {
-			if t.input == wake {
-				inf.wakeSet = false
-			}
-			b.drive(inf, t.input)
-			b.forget(inf)
-		}
-	}
+// takeFirst notes who serves the session, how long the wait was, and how far over the target it came.
+func (b *Brain) takeFirst(inf *inference, in FirstToken) {
+	inf.sends[in.Send].began = true
+	b.learnLag(b.engines[in.Engine], in.Lag, inf.sends[in.Send].at)
+	b.pairs[inf.Session] = pair{inf.reader, in.Engine, b.now}
+	b.tell(inf)
+	b.firsts = last(b.firsts, sample{b.now, b.now - inf.at - int64(b.target(inf))}, 32)
+	b.drive(inf, firstToken)
 }
 
+// takeOutcome sorts an outcome into the table's inputs.
 func (b *Brain) takeOutcome(o Outcome) {
 	inf := b.infs[o.Inf]
 	if inf == nil || o.Send < 0 || o.Send >= len(inf.sends) || !inf.sends[o.Send].out {
@@ -602,7 +565,7 @@
 	switch o.Verdict {
 	case ReadDone:
 		b.learnKept(inf, s.engine, o.Note)
-		b.learnLag(e, o.Lag)
+		b.learnLag(e, o.Lag, s.at)
 	case Full:
 		// 150 ms: about the time in which a busy writer ends one answer.
 		e.fullUntil = b.now + int64(150*time.Millisecond)
@@ -615,8 +578,9 @@
 	}
 }
 
-// learnLag takes an answer as a sign of health.
-func (b *Brain) learnLag(e *engine, lag int64) {
+// learnLag takes an answer as a sign of health. Engines take sends in turn, so a send that three later ones have
+// overtaken, though it has waited a quarter of its target, was lost on the way or in the engine.
+func (b *Brain) learnLag(e *engine, lag, sentAt int64) {
 	if e == nil {
 		return
 	}
@@ -626,6 +590,35 @@
 		e.coldFrom = b.now
 	}
 	e.trial, e.goodAt = false, b.now
+	var lost []*inference
+	for _, inf := range b.infs {
+		n := len(inf.sends) - 1
+		if n < 0 || !inf.sends[n].out || inf.sends[n].began || inf.sends[n].engine != e.Engine {
+			continue
+		}
+		s := &inf.sends[n]
+		if s.at < sentAt {
+			s.overtaken++
+		}
+		if s.overtaken >= 3 && float64(b.now-s.at) > b.target(inf)/4 {
+			lost = append(lost, inf)
+		}
+	}
+	slices.SortFunc(lost, func(x, y *inference) int { return cmp.Compare(x.Inf, y.Inf) })
+	for _, inf := range lost {
+		b.drive(inf, overtaken)
+	}
+}
+
+// withdraw gives up the wait for the send that is out, where another may follow it.
+func (b *Brain) withdraw(inf *inference) input {
+	s := &inf.sends[len(inf.sends)-1]
+	again := !s.writes || b.word(b.route(inf, "effect")) == "retriable"
+	if again && !s.withdrawn && len(inf.sends) < int(b.num("limits.sends", 1)) && b.flag("limits.cancel") {
+		s.withdrawn = true
+		b.effects = append(b.effects, Withdraw{inf.Inf, len(inf.sends) - 1})
+	}
+	return nothing
 }
 
 // coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
--- a/brain/state.go
+++ b/brain/state.go
@@ -70,6 +70,9 @@
 	neverRan bool
 	kept     bool // a read that ended with a state
 	began    bool
+
+	overtaken int // how many later sends the engine has answered
+	withdrawn bool
 }
 
 // timer is what a token stands for.
