--- a/brain/brain.go
+++ b/brain/brain.go
@@ -578,8 +578,8 @@
 	}
 }
 
-// learnLag takes an answer as a sign of health. Engines take sends in turn, so a send that three later ones have
-// overtaken, though it has waited a quarter of its target, was lost on the way or in the engine.
+// learnLag takes an answer as a sign of health. Engines take sends in turn, so a send that two later ones have
+// overtaken, though it has waited a sixth of its target, was lost on the way or in the engine.
 func (b *Brain) learnLag(e *engine, lag, sentAt int64) {
 	if e == nil {
 		return
@@ -600,7 +600,7 @@
 		if s.at < sentAt {
 			s.overtaken++
 		}
-		if s.overtaken >= 3 && float64(b.now-s.at) > b.target(inf)/4 {
+		if s.overtaken >= 2 && float64(b.now-s.at) > b.target(inf)/6 {
 			lost = append(lost, inf)
 		}
 	}
@@ -621,31 +621,34 @@
 	return nothing
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
-// has done for this node lately is less than an engine can do for it, so if each node keeps to half of the
-// cold share of that, all together keep to half of the budget. Who has seen nothing sends one a window.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the warm engines of its role did for
+// this node lately, on the mean, adds up over the nodes to no more than an engine can do, so if each keeps to
+// 0.8 of the cold share of that, all keep to the budget. Who has seen nothing sends one a window.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
 		return true
 	}
 	const span = int64(4 * time.Second) // long enough to count some, short enough to be of now
-	window, used, most := int64(b.num("rules.fall_window", 1e9)), 0, 0
+	window, used, done, warm := int64(b.num("rules.fall_window", 1e9)), 0, 0, 1e-9
 	for _, at := range e.sent {
 		if b.now-at <= window {
 			used++
 		}
 	}
 	for _, id := range b.ids {
-		o, done := b.engines[id], 0
+		o := b.engines[id]
+		before := done
 		for _, s := range o.samples {
 			if b.now-s.at < span && o.reader == e.reader && o.writer == e.writer {
 				done++
 			}
 		}
-		most = max(most, done)
+		if done > before {
+			warm++
+		}
 	}
-	share := 0.5 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
-	return used < max(1, int(share*float64(most)*float64(window)/float64(span)))
+	share := 0.8 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
+	return used < max(1, int(share*float64(done)/warm*float64(window)/float64(span)))
 }
 
 func (b *Brain) learnEngines(news EngineNews) {
