--- a/brain/brain.go
+++ b/brain/brain.go
@@ -621,34 +621,31 @@
 	return nothing
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What the warm engines of its role did for
-// this node lately, on the mean, adds up over the nodes to no more than an engine can do, so if each keeps to
-// 0.8 of the cold share of that, all keep to the budget. Who has seen nothing sends one a window.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
+// did for this node lately adds up over the nodes to about one and a half times what an engine can do at most,
+// so 0.6 of the cold share of that keeps all to the budget. Who has seen nothing sends one a window.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
 		return true
 	}
 	const span = int64(4 * time.Second) // long enough to count some, short enough to be of now
-	window, used, done, warm := int64(b.num("rules.fall_window", 1e9)), 0, 0, 1e-9
+	window, used, most := int64(b.num("rules.fall_window", 1e9)), 0, 0
 	for _, at := range e.sent {
 		if b.now-at <= window {
 			used++
 		}
 	}
 	for _, id := range b.ids {
-		o := b.engines[id]
-		before := done
+		o, done := b.engines[id], 0
 		for _, s := range o.samples {
 			if b.now-s.at < span && o.reader == e.reader && o.writer == e.writer {
 				done++
 			}
 		}
-		if done > before {
-			warm++
-		}
+		most = max(most, done)
 	}
-	share := 0.8 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
-	return used < max(1, int(share*float64(done)/warm*float64(window)/float64(span)))
+	share := 0.6 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
+	return used < max(1, int(share*float64(most)*float64(window)/float64(span)))
 }
 
 func (b *Brain) learnEngines(news EngineNews) {
