--- /dev/null
+++ b/brain/plain_test.go
@@ -0,0 +1,220 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+)
+
+// node is one brain with two readers r0, r1 and two writers w0, w1.
+type node struct {
+	t   *testing.T
+	b   *Brain
+	now int64
+	got []Effect
+}
+
+func newNode(t *testing.T, more map[string]any) *node {
+	facts := map[string]any{
+		"limits.sends": 4.0, "limits.cancel": true, "tick": 4e6, "nodes": 2.0, "routes.count": 2.0,
+		"engine_facts.pin": 500e6, "engine_facts.role_of_kind.0": "read", "engine_facts.role_of_kind.1": "write",
+		"rules.cold": 10e9, "rules.fall_window": 1e9, "rules.cold_share": 0.25, "rules.fall_multiple": 3.0,
+		"routes.0.effect": "retriable", "routes.0.value": 1.0, "routes.0.first_token_target": 1e9,
+		"routes.1.effect": "non-retriable", "routes.1.value": 1.0, "routes.1.first_token_target": 1e9,
+	}
+	for name, v := range more {
+		facts[name] = v
+	}
+	n := &node{t: t, b: New(1, facts), now: 1e12}
+	n.engines(EngineEntry{}, "r0", "r1", "w0", "w1")
+	return n
+}
+
+func (n *node) engines(like EngineEntry, ids ...string) {
+	news := EngineNews{}
+	for _, id := range ids {
+		like.Engine, like.Ready, like.Kind = id, true, 0
+		if id[0] == 'w' {
+			like.Kind = 1
+		}
+		news.Engines = append(news.Engines, like)
+	}
+	n.step(0, news)
+}
+
+// step feeds an input after some milliseconds and returns the engine that was sent to, if one was.
+func (n *node) step(after int64, in Input) string {
+	n.now += after * ms
+	n.got = n.b.Step(n.now, in)
+	for _, e := range n.got {
+		if s, ok := e.(Send); ok {
+			return s.Engine
+		}
+	}
+	return ""
+}
+
+func (n *node) arrive(inf int64, route int, session string) string {
+	return n.step(0, Arrival{Inf: inf, Route: route, Session: session, Prefix: "p", Prompt: 2000, PrefixTokens: 1500,
+		GiveUpAt: n.now + 4000*ms})
+}
+
+func (n *node) read(after, inf int64, reader string) string {
+	return n.step(after, Outcome{Inf: inf, Engine: reader, Verdict: ReadDone, Lag: after * ms})
+}
+
+func (n *node) first(after, inf int64, writer string) {
+	n.step(after, FirstToken{Inf: inf, Send: 1, Engine: writer, Lag: after * ms})
+}
+
+// serve takes an inference through to its first token and returns its engines.
+func (n *node) serve(inf int64, session string) (reader, writer string) {
+	reader = n.arrive(inf, 0, session)
+	writer = n.read(20, inf, reader)
+	n.first(20, inf, writer)
+	return reader, writer
+}
+
+func (n *node) want(effects ...Effect) {
+	n.t.Helper()
+	if fmt.Sprintf("%T%v", n.got, n.got) != fmt.Sprintf("%T%v", effects, effects) {
+		n.t.Fatalf("got %+v, want %+v", n.got, effects)
+	}
+}
+
+func TestSessionKeepsItsPair(t *testing.T) {
+	n := newNode(t, nil)
+	reader, writer := n.serve(1, "s")
+	if r, w := n.serve(2, "s"); r != reader || w != writer {
+		t.Fatalf("the session went from %s, %s to %s, %s", reader, writer, r, w)
+	}
+}
+
+func TestLateReadIsDiscarded(t *testing.T) {
+	n := newNode(t, nil)
+	reader := n.arrive(1, 0, "s")
+	n.step(5, ClientGone{1})
+	n.want(Withdraw{1, 0}, Discard{1})
+	n.read(5, 1, reader)
+	n.want(Discard{1})
+}
+
+// Found on the first standard days: a shed with a read out counts as one that may have run.
+func TestNonRetriableIsNotShedWhileASendIsOut(t *testing.T) {
+	n := newNode(t, nil)
+	n.arrive(1, 1, "s")
+	n.step(3990, TimerDue{1})
+	n.want(Fail{1}, Withdraw{1, 0}, Discard{1})
+}
+
+func TestWriterThatMayHaveRunEndsANonRetriable(t *testing.T) {
+	n := newNode(t, nil)
+	writer := n.read(20, 1, n.arrive(1, 1, "s"))
+	n.step(20, Outcome{Inf: 1, Send: 1, Engine: writer, Verdict: ConnectionLost})
+	n.want(Fail{1}, Discard{1})
+}
+
+// Incident i368f41: single sends vanish while their engine answers later ones.
+func TestOvertakenSendIsWithdrawnAndSentElsewhere(t *testing.T) {
+	n := newNode(t, nil)
+	lost := n.arrive(1, 0, "s")
+	for inf := int64(2); inf <= 8; inf++ {
+		reader := n.arrive(inf, 0, fmt.Sprint("s", inf))
+		n.read(60, inf, reader)
+		for _, e := range n.got {
+			if e == (Withdraw{1, 0}) {
+				if to := n.step(1, Outcome{Inf: 1, Engine: lost, Verdict: Withdrawn}); to == "" || to == lost {
+					t.Fatalf("sent again to %q", to)
+				}
+				return
+			}
+		}
+	}
+	t.Fatal("never withdrawn")
+}
+
+// Incidents i384176 and i602403: writers that came back were left idle.
+func TestColdEngineGetsMoreThanOneSendAWindow(t *testing.T) {
+	n := newNode(t, nil)
+	for inf := int64(1); inf <= 100; inf++ {
+		n.serve(inf, fmt.Sprint("s", inf))
+	}
+	n.engines(EngineEntry{UpSince: n.now}, "w2")
+	cold := 0
+	for inf := int64(101); inf <= 120; inf++ {
+		if _, w := n.serve(inf, fmt.Sprint("s", inf)); w == "w2" {
+			cold++
+		}
+	}
+	if cold < 2 || cold > 9 {
+		t.Fatalf("%d sends to the cold writer in 0.8 s", cold)
+	}
+}
+
+// Incident i103f8c: queues that never clear.
+func TestArrivalIsShedOnceAllReadsTakeLong(t *testing.T) {
+	n := newNode(t, nil)
+	for inf := int64(1); inf <= 4; inf++ {
+		reader := n.arrive(inf, 0, fmt.Sprint("s", inf))
+		n.read(1500, inf, reader)
+	}
+	n.arrive(5, 0, "new")
+	n.want(ArmTimer{5, 3988 * ms}, Shed{Inf: 5}, Discard{5})
+}
+
+// Day hd6b175: a session's writer has become slow.
+func TestSessionLeavesASlowWriter(t *testing.T) {
+	n := newNode(t, nil)
+	_, slow := n.serve(1, "s")
+	n.now += 3000 * ms // the quick lag of before is old
+	writer := n.read(20, 2, n.arrive(2, 0, "s"))
+	n.first(600, 2, writer)
+	if w := n.read(20, 3, n.arrive(3, 0, "s")); w == slow {
+		t.Fatalf("still sent to %s", w)
+	}
+}
+
+func TestWriterReportedFullIsPassedOver(t *testing.T) {
+	n := newNode(t, map[string]any{"engine_facts.memory_of_kind.1": 100000.0})
+	_, writer := n.serve(1, "s")
+	n.serve(2, "s")
+	n.step(5, Outcome{Inf: 1, Send: 1, Engine: writer, Verdict: Completed, Ended: true,
+		Report: map[string]float64{"memory_share": 1.2}})
+	if _, w := n.serve(3, "s"); w == writer {
+		t.Fatalf("sent to %s, which is full", w)
+	}
+}
+
+// Incident i103f8c: a front spreads the turns of a session over nodes.
+func TestTurnsFindTheirReaderFromAnotherNode(t *testing.T) {
+	peers := map[string]any{"limits.peers": true}
+	a, b := newNode(t, peers), newNode(t, peers)
+	usual, _ := newNode(t, peers).serve(1, "s")
+	a.step(0, EngineNews{Engines: []EngineEntry{{Engine: usual, Drains: true}}})
+	reader, writer := a.serve(1, "s")
+	for _, e := range a.got {
+		if tell, ok := e.(Tell); ok {
+			b.step(0, PeerMessage{Text: tell.Text})
+		}
+	}
+	b.step(0, PeerMessage{Text: "kept nonsense"})
+	if r, w := b.serve(9, "s"); r != reader || w != writer {
+		t.Fatalf("%s, %s at one node and %s, %s at the other", reader, writer, r, w)
+	}
+}
+
+// Incident id5afd4: the same where nodes may not talk.
+func TestTurnsGoHomeWhereMessagesAreForbidden(t *testing.T) {
+	a, b := newNode(t, nil), newNode(t, nil)
+	used := map[string]bool{}
+	for inf := int64(1); inf <= 20; inf++ {
+		session := fmt.Sprint("s", inf)
+		r1, _ := a.serve(inf, session)
+		used[r1] = true
+		if r2, _ := b.serve(inf, session); r1 != r2 {
+			t.Fatalf("%s is read at %s and at %s", session, r1, r2)
+		}
+	}
+	if len(used) != 2 {
+		t.Fatalf("one reader bears the shared beginning alone: %v", used)
+	}
+}
