--- a/brain/brain.go
+++ b/brain/brain.go
@@ -323,6 +323,7 @@
 		weights += capacity(e)
 	}
 	load := func(e *engine) int { return loads[e.Engine].reads }
+	away := func(e *engine) int { return min(1, max(e.Zone-b.zone(), b.zone()-e.Zone)) } // crossing zones costs
 	under := func(e *engine) bool {
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
@@ -343,11 +344,11 @@
 	}
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
 		func(x, y *engine) int {
-			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), byHash(inf.Session)(x, y))
+			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), away(x)-away(y), byHash(inf.Session)(x, y))
 		}); e != nil {
 		return e
 	}
-	least := func(x, y *engine) int { return load(x) - load(y) }
+	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	some := func(e *engine) bool { return overlap(e) > 0 }
 	if !slices.ContainsFunc(ready, some) {
 		key := cmp.Or(inf.Prefix, inf.Session)
--- a/brain/help.go
+++ b/brain/help.go
@@ -112,3 +112,5 @@
 		}
 	}
 }
+
+func (b *Brain) zone() int { return int(b.num("zone", 0)) }
