--- a/brain/brain.go
+++ b/brain/brain.go
@@ -332,7 +332,7 @@
 	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes to.
 	// Two share a much used beginning; with three or all readers each would keep a copy of everything.
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
-	if b.num("nodes", 1) > 1 && !b.flag("limits.peers") && !slices.ContainsFunc(ready, known) {
+	if b.num("nodes", 1) > 1 && !slices.ContainsFunc(ready, known) {
 		homes := slices.Clone(ready)
 		slices.SortFunc(homes, byHash(inf.Prefix))
 		if inf.Prefix != "" {
