--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	admitted         // it can be in time
 	hopeless         // it cannot be in time
 	overtaken        // its engine has answered what was sent later
+	tooLate          // its target has passed before it was read
 )
 
 var (
@@ -60,6 +61,7 @@
 	{is(writing), in(noWriter), held, (*Brain).wait},
 	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
 	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
+	{is(reading), in(tooLate), reading, (*Brain).dropLate},
 	{is(reading), in(overtaken), reading, (*Brain).withdraw},
 	{is(writing), in(overtaken), writing, (*Brain).withdraw},
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
@@ -332,7 +334,7 @@
 	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes to.
 	// Two share a much used beginning; with three or all readers each would keep a copy of everything.
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
-	if b.num("nodes", 1) > 1 && !slices.ContainsFunc(ready, known) {
+	if b.num("nodes", 1) > 1 && !b.flag("limits.peers") && !slices.ContainsFunc(ready, known) {
 		homes := slices.Clone(ready)
 		slices.SortFunc(homes, byHash(inf.Prefix))
 		if inf.Prefix != "" {
@@ -611,6 +613,15 @@
 	}
 }
 
+// dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
+// takes the place of one that could be in time.
+func (b *Brain) dropLate(inf *inference) input {
+	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed {
+		return hopeless
+	}
+	return nothing
+}
+
 // withdraw gives up the wait for the send that is out, where another may follow it.
 func (b *Brain) withdraw(inf *inference) input {
 	s := &inf.sends[len(inf.sends)-1]
