--- a/brain/brain.go
+++ b/brain/brain.go
@@ -249,28 +249,26 @@
 	expected := float64(quantile(waits, 2) + b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
-	late := 0.0
-	for _, over := range b.firsts {
-		if over.at > b.now-int64(4*time.Second) && over.lag > 0 {
-			late += 1.0 / 32
-		}
-	}
+	late := b.lateShare()
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
 	line *= 1 - late*(0.4+0.6*unread)
-	b.expects = last(b.expects, expected/b.target(inf), 48)
-	jam := 0.0
-	for _, e := range b.expects {
-		if e > 0.25 {
-			jam += 1.0 / 48
-		}
-	}
-	line *= 1 - 0.6*jam*unread
 	if expected > line {
 		return hopeless
 	}
 	return admitted
 }
 
+// lateShare is how many of the last 32 first tokens came after their target, within 4 s.
+func (b *Brain) lateShare() float64 {
+	late := 0.0
+	for _, over := range b.firsts {
+		if over.at > b.now-int64(4*time.Second) && over.lag > 0 {
+			late += 1.0 / 32
+		}
+	}
+	return late
+}
+
 // target is the time in which the first token is wanted.
 func (b *Brain) target(inf *inference) float64 {
 	per := b.num(fmt.Sprintf("engine_facts.target_per_1000_tokens.%d", inf.Route), 0)
@@ -616,7 +614,7 @@
 // dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
 // takes the place of one that could be in time.
 func (b *Brain) dropLate(inf *inference) input {
-	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed {
+	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.lateShare() > 0.2 {
 		return hopeless
 	}
 	return nothing
