Reports that lie cost a wait, never the inference

A writer reported over-full for ever would have taken one stream a node at a time. A state that waited three quarters of the pin limit now goes anyway.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -493,14 +493,16 @@
 
 // hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It
 // goes by a report of the last second and what was sent since; else, as when a slow writer seldom answers, by
-// this node's own part, as if all nodes sent alike. A wrong guess costs a wait. 1.05: reports are noisy.
+// this node's own part, as if all nodes sent alike. A wrong guess, or a report that lies, costs a wait of
+// three quarters of the pin limit, never the inference. 1.05: reports are noisy.
 func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
 	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
 	used := l.tokens * b.num("nodes", 1)
 	if b.now-e.reportAt < int64(time.Second) {
 		used = e.memory*memory + l.unseen
 	}
-	return memory == 0 || l.streams == 0 || used+inf.Prompt < 1.05*memory
+	waited := float64(b.now-inf.freeAt) > 0.75*b.num("engine_facts.pin", 0)
+	return memory == 0 || waited || l.streams == 0 || used+inf.Prompt < 1.05*memory
 }
 
 // ---- engines
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -206,6 +206,27 @@
 	}
 }
 
+func TestReportsThatLieCostAWaitOnly(t *testing.T) {
+	n := newNode(t, map[string]any{"engine_facts.memory_of_kind.1": 100000.0})
+	for inf := int64(1); inf <= 2; inf++ {
+		n.serve(inf, fmt.Sprint("s", inf))
+	}
+	for _, w := range []string{"w0", "w1"} {
+		n.b.engines[w].memory, n.b.engines[w].reportAt = 9, n.now+1000*ms
+	}
+	if w := n.read(20, 3, n.arrive(3, 0, "s3")); w != "" {
+		t.Fatalf("sent to %s, which is reported full", w)
+	}
+	token := n.b.token
+	for waited := 30; waited < 480; waited += 30 {
+		if w := n.step(30, TimerDue{token}); w != "" {
+			return
+		}
+		token = n.b.token
+	}
+	t.Fatal("never sent to a writer")
+}
+
 // Incident i103f8c: a front spreads the turns of a session over nodes.
 func TestTurnsFindTheirReaderFromAnotherNode(t *testing.T) {
 	peers := map[string]any{"limits.peers": true}
