--- a/brain/brain.go
+++ b/brain/brain.go
@@ -280,8 +280,9 @@
 func (b *Brain) lag(e *engine, l load) int64 {
 	seen, least := false, int64(math.MaxInt64)
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
-		// 2 s: about the time that a queue takes to change; 0.5 s where nothing waits there, so none is.
-		if age := b.now - s.at; age < int64(500*time.Millisecond) || len(l.waits) > 0 && age < int64(2*time.Second) {
+		// 2 s: about the time that a queue takes to change; 0.7 s where nothing waits there, so none is.
+		age := time.Duration(b.now - s.at)
+		if age < 700*time.Millisecond || len(l.waits) > 0 && age < 2*time.Second {
 			seen, least = true, min(least, s.lag)
 		}
 	}
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -162,6 +162,19 @@
 	n.want(Shed{Inf: 5}, Discard{5})
 }
 
+// Incident i72c633: lags of before stood for a queue that had drained.
+func TestArrivalIsTakenOnceNothingWaits(t *testing.T) {
+	n := newNode(t, nil)
+	for inf := int64(1); inf <= 4; inf++ {
+		reader := n.arrive(inf, 0, fmt.Sprint("s", inf))
+		n.first(20, inf, n.read(1500, inf, reader))
+	}
+	n.now += 800 * ms
+	if n.arrive(5, 0, "new") == "" {
+		t.Fatal("shed though nothing waits")
+	}
+}
+
 // The same incident: in a jam, a read that is late already makes room.
 func TestLateReadIsShedOnlyInAJam(t *testing.T) {
 	for _, others := range []int64{0, 8} {
