--- a/brain/brain.go
+++ b/brain/brain.go
@@ -133,19 +133,18 @@
 // ---- gates: every send and every final answer passes one of these, which check the rules
 
 // gate sends to an engine if the rules allow it, else says what stands against it.
-func (b *Brain) gate(inf *inference, e *engine, patience int64) input {
-	out := slices.ContainsFunc(inf.sends, func(s send) bool { return s.out })
+func (b *Brain) gate(inf *inference, e *engine) input {
 	switch {
 	case len(inf.sends) >= int(b.num("limits.sends", 1)) || !b.mayRepeat(inf, e):
 		return spent
 	case b.now >= inf.GiveUpAt-b.margin():
 		return spent
-	case out, !e.Ready, !b.coldRoom(e):
+	case inf.isOut(), !e.Ready, !b.coldRoom(e):
 		return noWriter
 	}
 	e.sent = last(e.sent, b.now, 64)
 	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: e.writer, out: true})
-	b.effects = append(b.effects, Send{inf.Inf, e.Engine, patience})
+	b.effects = append(b.effects, Send{Inf: inf.Inf, Engine: e.Engine})
 	return nothing
 }
 
@@ -203,12 +202,14 @@
 	return nothing
 }
 
+// 30 ms: a few writer steps, so a freed slot is not left idle for long.
+const waitStep = int64(30 * time.Millisecond)
+
 // wait tries again a little later; a held state is sent on before its time is up.
 func (b *Brain) wait(inf *inference) input {
 	if !inf.wakeSet {
 		inf.wakeSet = true
-		// 30 ms: a few writer steps, so a freed slot is not left idle for long.
-		b.arm(inf, wake, int64(30*time.Millisecond))
+		b.arm(inf, wake, waitStep)
 	}
 	return nothing
 }
@@ -223,7 +224,7 @@
 // harmless. Streams that return after a break have begun already and are always taken.
 func (b *Brain) admit(inf *inference) input {
 	loads := b.loads()
-	reader := b.pickReader(inf)
+	reader := b.pickReader(inf, loads)
 	writers := b.usable(inf, loads, func(e *engine) bool { return e.writer })
 	if reader == nil || len(writers) == 0 || inf.Resumed {
 		return admitted
@@ -246,7 +247,7 @@
 			waits = append(waits, b.now-other.freeAt)
 		}
 	}
-	expected := float64(quantile(waits, 2) + b.lag(reader, loads[reader.Engine]) + quantile(lags, 2))
+	expected := float64(median(waits) + b.lag(reader, loads[reader.Engine]) + median(lags))
 	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
 	// be read in full feeds the jam.
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
@@ -287,35 +288,32 @@
 		}
 	}
 	if seen {
-		return max(least, quantile(l.waits, 2))
+		return max(least, median(l.waits))
 	}
-	return quantile(l.waits, 2)
+	return median(l.waits)
 }
 
 // ---- readers
 
 func (b *Brain) sendToReader(inf *inference) input {
-	e := b.pickReader(inf)
+	e := b.pickReader(inf, b.loads())
 	if e == nil {
 		return noReader
 	}
 	inf.reader = e.Engine
-	return b.gate(inf, e, 0)
+	return b.gate(inf, e)
 }
 
 // pickReader is the design's ladder: the session's pair, overlap under the cap, hash, least load.
-func (b *Brain) pickReader(inf *inference) *engine {
-	loads := b.loads()
+func (b *Brain) pickReader(inf *inference, loads map[string]load) *engine {
 	ready := b.usable(inf, loads, func(e *engine) bool { return e.reader })
 	if len(ready) == 0 {
 		return nil
 	}
 	const margin = 0.75 // the design's starting value; 1.5 and 3 did no better
-	// 30 s: the design's starting value.
-	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
-		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.reader }); i >= 0 {
-			return ready[i]
-		}
+	pinned := b.pairOf(inf).reader
+	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 {
+		return ready[i]
 	}
 	capacity := func(e *engine) float64 { return b.capacity(inf, e, loads[e.Engine]) }
 	total, weights := 1.0, 0.0
@@ -324,7 +322,7 @@
 		weights += capacity(e)
 	}
 	load := func(e *engine) int { return loads[e.Engine].reads }
-	away := func(e *engine) int { return min(1, max(e.Zone-b.zone(), b.zone()-e.Zone)) } // crossing zones costs
+	away := func(e *engine) int { return differ(e.Zone, int(b.num("zone", 0))) } // crossing zones costs
 	under := func(e *engine) bool {
 		return float64(load(e)) < math.Ceil((1+margin)*total*capacity(e)/weights)
 	}
@@ -366,6 +364,15 @@
 	return b.roundRobin(ready, least)
 }
 
+// pairOf is where the session was served last, if that is not too long ago.
+func (b *Brain) pairOf(inf *inference) pair {
+	// 30 s: the design's starting value.
+	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
+		return p
+	}
+	return pair{}
+}
+
 // capacity is the weight that the operator gives. What other nodes load, and what is slow, shows only as lag,
 // so past a fifth of the target, which calm sends stay under, it falls as lag grows.
 func (b *Brain) capacity(inf *inference, e *engine, l load) float64 {
@@ -452,13 +459,13 @@
 	}
 	e := b.pickWriter(inf)
 	if e == nil {
-		if b.now-inf.freeAt > int64(b.num("engine_facts.pin", 0))-2*b.margin()-int64(30*time.Millisecond) {
+		if b.now-inf.freeAt > int64(b.num("engine_facts.pin", 0))-2*b.margin()-waitStep {
 			return spent
 		}
 		return noWriter
 	}
 	inf.writer = e.Engine
-	return b.gate(inf, e, 0)
+	return b.gate(inf, e)
 }
 
 // pickWriter takes the session's writer if it is valid, else the one with fewest own streams; ties go to the
@@ -471,18 +478,17 @@
 	if len(ready) == 0 {
 		return nil
 	}
-	if p, ok := b.pairs[inf.Session]; ok && inf.Session != "" && b.now-p.at < int64(30*time.Second) {
-		if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == p.writer }); i >= 0 &&
-			float64(b.lag(ready[i], loads[p.writer])) < b.target(inf)/3 {
-			return ready[i]
-		}
+	pinned := b.pairOf(inf).writer
+	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 &&
+		float64(b.lag(ready[i], loads[pinned])) < b.target(inf)/3 {
+		return ready[i]
 	}
 	from := b.engines[inf.reader]
 	far := func(e *engine) int {
 		if from == nil || e.Cell == from.Cell {
 			return 0
 		}
-		return 1 + min(1, max(e.Zone-from.Zone, from.Zone-e.Zone))
+		return 1 + differ(e.Zone, from.Zone)
 	}
 	return b.roundRobin(ready, func(x, y *engine) int {
 		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
@@ -517,7 +523,7 @@
 			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
 		}
 	}
-	usual := quantile(lags, 2)
+	usual := median(lags)
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
@@ -709,16 +715,3 @@
 		b.effects = append(b.effects, Watch{})
 	}
 }
-
-// roundRobin takes turns among those that tie for the least.
-func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
-	least := slices.MinFunc(row, order)
-	var tied []*engine
-	for _, e := range row {
-		if order(e, least) == 0 {
-			tied = append(tied, e)
-		}
-	}
-	b.turn++
-	return tied[b.turn%len(tied)]
-}
--- a/brain/help.go
+++ b/brain/help.go
@@ -9,13 +9,13 @@
 	"slices"
 )
 
-// quantile is the value that one in n lie under, 0 of none.
-func quantile(row []int64, n int) int64 {
+// median is 0 of none; it sorts the row.
+func median(row []int64) int64 {
 	if len(row) == 0 {
 		return 0
 	}
 	slices.Sort(row)
-	return row[len(row)/n]
+	return row[len(row)/2]
 }
 
 // best is the first of the least by order among those that fit.
@@ -29,6 +29,19 @@
 	return found
 }
 
+// roundRobin takes turns among those that tie for the least.
+func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
+	least := slices.MinFunc(row, order)
+	var tied []*engine
+	for _, e := range row {
+		if order(e, least) == 0 {
+			tied = append(tied, e)
+		}
+	}
+	b.turn++
+	return tied[b.turn%len(tied)]
+}
+
 func hash(text string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(text))
@@ -71,9 +84,13 @@
 	b.effects = append(b.effects, ArmTimer{b.token, after})
 }
 
+func (inf *inference) isOut() bool {
+	return slices.ContainsFunc(inf.sends, func(s send) bool { return s.out })
+}
+
 // forget drops an inference that has ended and has nothing out.
 func (b *Brain) forget(inf *inference) {
-	if inf.state == ended && !slices.ContainsFunc(inf.sends, func(s send) bool { return s.out }) {
+	if inf.state == ended && !inf.isOut() {
 		delete(b.infs, inf.Inf)
 	}
 }
@@ -113,4 +130,10 @@
 	}
 }
 
-func (b *Brain) zone() int { return int(b.num("zone", 0)) }
+// differ is 0 for the same, else 1.
+func differ(x, y int) int {
+	if x == y {
+		return 0
+	}
+	return 1
+}
