--- a/brain/brain.go
+++ b/brain/brain.go
@@ -328,17 +328,11 @@
 	}
 	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
-	// Nodes that may not tell each other do not know a session's earlier reader. Then a session unknown here
-	// goes to its home: of the two readers that its shared beginning hashes to, the one that the session hashes
-	// to. Two share a much used beginning; with three or all readers each would keep a copy of everything.
+	// A node that no other tells does not know a session's earlier reader. Then a session unknown here goes to
+	// its home: of the few readers that its shared beginning hashes to, the first that the session hashes to.
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
-	if b.num("nodes", 1) > 1 && !b.flag("limits.peers") && !slices.ContainsFunc(ready, known) {
-		homes := slices.Clone(ready)
-		slices.SortFunc(homes, byHash(inf.Prefix))
-		if inf.Prefix != "" {
-			homes = homes[:min(2, len(homes))]
-		}
-		if e := slices.MinFunc(homes, byHash(inf.Session)); under(e) {
+	if b.num("nodes", 1) > 1 && !b.tells() && !slices.ContainsFunc(ready, known) {
+		if e := best(b.homes(inf, ready, margin), under, byHash(inf.Session)); e != nil {
 			return e
 		}
 	}
@@ -364,6 +358,26 @@
 	return b.roundRobin(ready, least)
 }
 
+// homes are the readers that keep a shared beginning, the same at all nodes: two, as each copy takes memory that
+// sessions need, or as many as bring its share of the arrivals under the cap that all nodes' loads would give.
+func (b *Brain) homes(inf *inference, ready []*engine, margin float64) []*engine {
+	b.prefixes = last(b.prefixes, inf.Prefix, 64)
+	if inf.Prefix == "" {
+		return ready
+	}
+	seen := -1 // this one tells nothing of how many there are
+	for _, p := range b.prefixes {
+		if p == inf.Prefix {
+			seen++
+		}
+	}
+	share := float64(seen) / float64(len(b.prefixes))
+	n := max(2, int(math.Ceil(share*float64(len(ready))/(1+margin))))
+	homes := slices.Clone(ready)
+	slices.SortFunc(homes, byHash(inf.Prefix))
+	return homes[:min(n, len(homes))]
+}
+
 // pairOf is where the session was served last, if that is not too long ago.
 func (b *Brain) pairOf(inf *inference) pair {
 	// 30 s: the design's starting value.
@@ -430,10 +444,17 @@
 	}
 }
 
-// tell lets the other nodes know where a session's text is kept, where messages are allowed: a front spreads
-// the turns of a session over all nodes. Lost messages cost one read in full.
+// tells is whether other nodes are told where a session's text is kept: where messages are allowed and a word to
+// all of them costs no more than 0.005 of the value, about what a text found again saves.
+func (b *Brain) tells() bool {
+	others := b.num("nodes", 1) - 1
+	return b.flag("limits.peers") && others > 0 && b.num("prices.peer", 0)*others*100/256 < 0.005
+}
+
+// tell lets the other nodes know where a session was served: a front spreads its turns over all nodes. Lost
+// messages cost one read in full.
 func (b *Brain) tell(inf *inference) {
-	if b.flag("limits.peers") && b.num("nodes", 1) > 1 {
+	if b.tells() {
 		text := fmt.Sprintf("kept %q %q %q %.0f", inf.Session, inf.reader, inf.writer, inf.Prompt)
 		b.effects = append(b.effects, Tell{-1, text})
 	}
--- a/brain/help.go
+++ b/brain/help.go
@@ -50,7 +50,7 @@
 
 // byHash orders engines by key and id, the same at all nodes.
 func byHash(key string) func(x, y *engine) int {
-	return func(x, y *engine) int { return cmp.Compare(hash(key+x.Engine), hash(key+y.Engine)) }
+	return func(x, y *engine) int { return cmp.Compare(hash(x.Engine+key), hash(y.Engine+key)) }
 }
 
 // chance is the next number of this instance between 0 and 1.
--- a/brain/state.go
+++ b/brain/state.go
@@ -7,15 +7,16 @@
 	now         int64
 	effects     []Effect
 
-	engines map[string]*engine
-	ids     []string // of all engines in the list, sorted
-	infs    map[int64]*inference
-	timers  map[int64]timer
-	token   int64
-	turn    int // round robin
-	started bool
-	expects []sample // how far over a quarter of the target the last arrivals' expected waits were
-	firsts  []sample // how far over the target the last first tokens came
+	engines  map[string]*engine
+	ids      []string // of all engines in the list, sorted
+	infs     map[int64]*inference
+	timers   map[int64]timer
+	token    int64
+	turn     int // round robin
+	started  bool
+	expects  []sample // how far over a quarter of the target the last arrivals' expected waits were
+	prefixes []string // shared beginnings of the last arrivals
+	firsts   []sample // how far over the target the last first tokens came
 
 	kept  map[keptKey]kept
 	pairs map[string]pair
