Writers' ties stay near only as often as the cell bears; ties by chance; hash mixed once more

Cause: with next to no own streams every tie went to the reader's cell, and its few writers were crowded; the sum of texts that differ in their last letters had like upper bits, so homes and chance clustered. Harms where the link between cells is the narrow place.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -505,8 +505,11 @@
 		return ready[i]
 	}
 	from := b.engines[inf.reader]
+	// A cell with fewer writers than readers cannot take all that is read there: a tie is kept near as often as
+	// the cell's writers bear, else all are equal.
+	near := from != nil && b.chance() < b.bears(from)
 	far := func(e *engine) int {
-		if from == nil || e.Cell == from.Cell {
+		if !near || e.Cell == from.Cell {
 			return 0
 		}
 		return 1 + differ(e.Zone, from.Zone)
@@ -516,6 +519,23 @@
 	})
 }
 
+// bears is a cell's share of the writers over its share of the readers.
+func (b *Brain) bears(from *engine) float64 {
+	var readers, writers, nearReaders, nearWriters float64
+	for _, id := range b.ids {
+		if e := b.engines[id]; e.Ready {
+			here := float64(1 - differ(e.Cell, from.Cell))
+			if e.reader {
+				readers, nearReaders = readers+1, nearReaders+here
+			}
+			if e.writer {
+				writers, nearWriters = writers+1, nearWriters+here
+			}
+		}
+	}
+	return nearWriters / max(1, writers) * readers / max(1, nearReaders)
+}
+
 // Reports travel and are refreshed for about half a second; what was sent since then is not in them.
 const reportDelay = int64(500 * time.Millisecond)
 
--- a/brain/help.go
+++ b/brain/help.go
@@ -29,7 +29,7 @@
 	return found
 }
 
-// roundRobin takes turns among those that tie for the least.
+// roundRobin takes turns, in an order of this instance's own, among those that tie for the least.
 func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
 	least := slices.MinFunc(row, order)
 	var tied []*engine
@@ -38,14 +38,16 @@
 			tied = append(tied, e)
 		}
 	}
-	b.turn++
-	return tied[b.turn%len(tied)]
+	return tied[int(b.chance()*float64(len(tied)))]
 }
 
+// hash mixes the sum once more: texts that differ only in their last letters share its upper bits.
 func hash(text string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(text))
-	return h.Sum64()
+	x := h.Sum64()
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return x ^ x>>33
 }
 
 // byHash orders engines by key and id, the same at all nodes.
