Cold budget by lot: nodes share it, none sends one a window of its own accord

Cause: each of a hundred nodes sent a cold engine one inference a window, five times what it could do.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -681,31 +681,38 @@
 	return nothing
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What the busiest warm engine of its role
-// did for this node lately adds up over the nodes to some one and a half times what an engine can do at most,
-// so 0.6 of the cold share of that keeps all to the budget. Who has seen nothing sends one a window.
+// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the warm engines of
+// that role, each on average, is what one can do at least, so the cold share of it is this node's part of the
+// budget. Whole places are its own; for the rest it draws lots with all nodes, the same at each, so that no more
+// win a window than there are places, and half as many as two windows in a row share a stretch of that length.
 func (b *Brain) coldRoom(e *engine) bool {
 	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
 		return true
 	}
 	const span = int64(4 * time.Second) // long enough to count some, short enough to be of now
-	window, used, most := int64(b.num("rules.fall_window", 1e9)), 0, 0
-	for _, at := range e.sent {
-		if b.now-at <= window {
-			used++
+	since := func(o *engine, span int64) (n float64) {
+		for _, at := range o.sent {
+			if b.now-at < span {
+				n++
+			}
 		}
+		return n
 	}
+	window, sent, warm := int64(b.num("rules.fall_window", 1e9)), 0.0, 0.0
 	for _, id := range b.ids {
-		o, done := b.engines[id], 0
-		for _, s := range o.samples {
-			if b.now-s.at < span && o.reader == e.reader && o.writer == e.writer {
-				done++
-			}
+		if o := b.engines[id]; o.Ready && o.reader == e.reader && o.writer == e.writer && b.now-o.coldFrom > span {
+			sent, warm = sent+since(o, span), warm+1
 		}
-		most = max(most, done)
 	}
-	share := 0.6 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0)
-	return used < max(1, int(share*float64(most)*float64(window)/float64(span)))
+	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * sent / max(1, warm) *
+		float64(window) / float64(span)
+	nodes := max(1, b.num("nodes", 1))
+	first := float64(hash(fmt.Sprint(e.Engine, b.now/window))%1e6) / 1e6 * nodes
+	whole, rest := math.Modf(places)
+	if math.Mod(b.num("me", 0)+first, nodes) < rest*nodes/2 {
+		whole++
+	}
+	return since(e, window) < whole
 }
 
 func (b *Brain) learnEngines(news EngineNews) {
