Ask the homes and two tied writers for their load where nothing was heard of late

Cause: a node that sees one inference a second knows nothing of engines; hot homes jammed (110 sends in 5 s against a mean of 30) while others idled. Harms where probes are dear.

--- a/brain/api.go
+++ b/brain/api.go
@@ -200,6 +200,8 @@
 		b.hear(in.Text)
 	case Outcome:
 		b.takeOutcome(in)
+	case ProbeResult:
+		b.takeAnswer(in)
 	case ClientGone:
 		if inf := b.infs[in.Inf]; inf != nil {
 			b.drive(inf, clientGone)
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,6 +15,7 @@
 
 const (
 	taken     state = iota // nothing is out, no state is held
+	asking                 // it waits for news of its readers
 	reading                // a reader's send is out
 	held                   // the state waits at the reader, nothing is out
 	writing                // a writer's send is out
@@ -40,23 +41,25 @@
 	spent            // no further send is allowed
 	admitted         // it can be in time
 	hopeless         // it cannot be in time
+	told             // what was asked of engines is known, or they are silent
 	overtaken        // its engine has answered what was sent later
 	tooLate          // its target has passed before it was read
 )
 
 var (
-	open = []state{taken, reading, held, writing}
+	open = []state{taken, asking, reading, held, writing}
 	all  = append(open[:len(open):len(open)], streaming, ended)
 )
 
 // table lists, for the states in the first column, what an input leads to: the next state and the effect.
 var table = []rule{
-	{is(taken), in(arrive), taken, (*Brain).admit},
+	{is(taken), in(arrive), asking, (*Brain).askReaders},
+	{is(asking), in(told), taken, (*Brain).admit},
 	{is(taken), in(admitted, wake), reading, (*Brain).sendToReader},
 	{is(reading), in(readLost, notWritten, mayHaveRun, stateGone), reading, (*Brain).sendToReader},
 	{is(reading), in(noReader, noWriter), taken, (*Brain).wait},
-	{is(reading), in(readDone), writing, (*Brain).sendToWriter},
-	{is(held), in(wake), writing, (*Brain).sendToWriter},
+	{is(reading), in(readDone), held, (*Brain).askWriters},
+	{is(held), in(told, wake), writing, (*Brain).sendToWriter},
 	{is(writing), in(notWritten, mayHaveRun), writing, (*Brain).sendToWriter},
 	{is(writing), in(noWriter), held, (*Brain).wait},
 	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
@@ -106,9 +109,7 @@
 	}
 	s := &inf.sends[o.Send]
 	s.out, inf.freeAt = false, b.now
-	if e, share := b.engines[o.Engine], o.Report["memory_share"]; e != nil && share > 0 {
-		e.memory, e.reportAt = share, b.now
-	}
+	b.learnReport(b.engines[o.Engine], o.Report)
 	s.kept = o.Verdict == ReadDone
 	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
 	b.learnOutcome(inf, s, o)
@@ -304,13 +305,15 @@
 	return b.gate(inf, e)
 }
 
+// margin is the design's starting value; 1.5 and 3 did no better.
+const margin = 0.75
+
 // pickReader is the design's ladder: the session's pair, overlap under the cap, hash, least load.
 func (b *Brain) pickReader(inf *inference, loads map[string]load) *engine {
 	ready := b.usable(inf, loads, func(e *engine) bool { return e.reader })
 	if len(ready) == 0 {
 		return nil
 	}
-	const margin = 0.75 // the design's starting value; 1.5 and 3 did no better
 	pinned := b.pairOf(inf).reader
 	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 {
 		return ready[i]
@@ -329,10 +332,11 @@
 	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
 	// A node that no other tells does not know a session's earlier reader. Then a session unknown here goes to
-	// its home: of the few readers that its shared beginning hashes to, the first that the session hashes to.
-	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
-	if b.num("nodes", 1) > 1 && !b.tells() && !slices.ContainsFunc(ready, known) {
-		if e := best(b.homes(inf, ready, margin), under, byHash(inf.Session)); e != nil {
+	// its home, unless that is over the cap by its report, which counts all nodes' sends, or silent.
+	homes := b.homesOf(inf, ready)
+	homes = homes[:min(2, len(homes))]
+	for _, fits := range []func(*engine) bool{b.calm, func(*engine) bool { return true }} {
+		if e := best(homes, func(e *engine) bool { return under(e) && fits(e) }, byHash(inf.Session)); e != nil {
 			return e
 		}
 	}
@@ -360,10 +364,10 @@
 
 // homes are the readers that keep a shared beginning, the same at all nodes: two, as each copy takes memory that
 // sessions need, or as many as bring its share of the arrivals under the cap that all nodes' loads would give.
-func (b *Brain) homes(inf *inference, ready []*engine, margin float64) []*engine {
-	b.prefixes = last(b.prefixes, inf.Prefix, 64)
-	if inf.Prefix == "" {
-		return ready
+func (b *Brain) homesOf(inf *inference, ready []*engine) []*engine {
+	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
+	if b.num("nodes", 1) < 2 || b.tells() || slices.ContainsFunc(ready, known) {
+		return nil
 	}
 	seen := -1 // this one tells nothing of how many there are
 	for _, p := range b.prefixes {
@@ -371,11 +375,111 @@
 			seen++
 		}
 	}
-	share := float64(seen) / float64(len(b.prefixes))
-	n := max(2, int(math.Ceil(share*float64(len(ready))/(1+margin))))
+	n := max(2, int(math.Ceil(2*float64(seen*len(ready))/float64(len(b.prefixes)))))
 	homes := slices.Clone(ready)
-	slices.SortFunc(homes, byHash(inf.Prefix))
-	return homes[:min(n, len(homes))]
+	if inf.Prefix != "" {
+		slices.SortFunc(homes, byHash(inf.Prefix))
+		homes = homes[:min(n, len(homes))]
+	}
+	slices.SortFunc(homes, byHash(inf.Session))
+	return homes
+}
+
+// ---- asking
+
+// freshFor is how long a report stands for an engine: engines renew theirs in about half a second.
+const freshFor = int64(time.Second)
+
+// askReaders asks the first homes how much waits there, as a node that sees little of the traffic cannot know.
+func (b *Brain) askReaders(inf *inference) input {
+	b.prefixes = last(b.prefixes, inf.Prefix, 64)
+	homes := b.homesOf(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
+	return b.ask(inf, homes[:min(2, len(homes))])
+}
+
+// askWriters asks some of those that tie for fewest own streams, one of them near.
+func (b *Brain) askWriters(inf *inference) input {
+	tied := b.fewestStreams(inf)
+	var some []*engine
+	for range min(2, len(tied)) {
+		some = append(some, b.roundRobin(tied, func(x, y *engine) int { return 0 }))
+	}
+	if p := b.pairOf(inf).writer; p != "" || len(tied) < 2 {
+		return told
+	}
+	return b.ask(inf, some)
+}
+
+// ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
+func (b *Brain) ask(inf *inference, engines []*engine) input {
+	inf.asked = inf.asked[:0]
+	for _, e := range engines {
+		if b.flag("limits.probes") && b.now-max(e.heardAt, e.reportAt) > freshFor && e.coldFrom == 0 {
+			if e.askedAt <= e.heardAt {
+				e.askedAt = b.now
+				b.effects = append(b.effects, Probe{e.Engine})
+			}
+			inf.asked = append(inf.asked, e.Engine)
+		}
+	}
+	if len(inf.asked) == 0 {
+		return told
+	}
+	// 50 ms: several times what an engine needs that is not in trouble.
+	b.arm(inf, told, int64(50*time.Millisecond))
+	return nothing
+}
+
+// takeAnswer notes what an engine says of itself; one that says nothing is in trouble.
+func (b *Brain) takeAnswer(p ProbeResult) {
+	e := b.engines[p.Engine]
+	if e == nil {
+		return
+	}
+	e.heardAt = b.now
+	if p.Verdict == Completed {
+		b.learnReport(e, p.Report)
+	} else {
+		e.silentAt = b.now
+	}
+	var ready []*inference
+	for _, inf := range b.infs {
+		if i := slices.Index(inf.asked, p.Engine); i >= 0 {
+			if inf.asked = slices.Delete(inf.asked, i, i+1); len(inf.asked) == 0 {
+				ready = append(ready, inf)
+			}
+		}
+	}
+	slices.SortFunc(ready, func(x, y *inference) int { return cmp.Compare(x.Inf, y.Inf) })
+	for _, inf := range ready {
+		b.drive(inf, told)
+		b.forget(inf)
+	}
+}
+
+// learnReport keeps an engine's load as it counts all nodes' sends: thousands of tokens to read, else inferences.
+func (b *Brain) learnReport(e *engine, report map[string]float64) {
+	if e == nil || len(report) == 0 {
+		return
+	}
+	e.memory, e.reportAt = report["memory_share"], b.now
+	e.waits = report["open"]
+	if w, ok := report["waiting_thousand_tokens"]; ok {
+		e.waits = w
+	}
+}
+
+// calm is whether an engine answers and its reported load is under the cap, taken over the readers heard of in
+// 10 s. Up to 8, some 8 inferences or 8,000 tokens, a wait is shorter than a read in full elsewhere.
+func (b *Brain) calm(e *engine) bool {
+	sum, n := 0.0, 0.0
+	for _, id := range b.ids {
+		if o := b.engines[id]; o.reader && o.reportAt > b.now-int64(10*time.Second) {
+			sum, n = sum+o.waits, n+1
+		}
+	}
+	silent := e.askedAt > e.heardAt || e.silentAt > max(e.reportAt, b.now-int64(5*time.Second))
+	return !silent && e.waits <= max(8, (1+margin)*sum/max(1, n))
 }
 
 // pairOf is where the session was served last, if that is not too long ago.
@@ -489,21 +593,14 @@
 	return b.gate(inf, e)
 }
 
-// pickWriter takes the session's writer if it is valid, else the one with fewest own streams; ties go to the
-// reader's cell, then its zone, then round robin.
+// pickWriter takes the session's writer if it is valid, else the one with fewest own streams. Among many nodes
+// nearly all tie, so what is known of a tie's memory comes next, past the half that costs nothing; then the
+// reader's cell, then its zone, then chance.
 func (b *Brain) pickWriter(inf *inference) *engine {
-	loads := b.loads()
-	ready := b.usable(inf, loads, func(e *engine) bool {
-		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e) && b.hasRoom(inf, e, loads[e.Engine])
-	})
-	if len(ready) == 0 {
+	tied := b.fewestStreams(inf)
+	if len(tied) == 0 {
 		return nil
 	}
-	pinned := b.pairOf(inf).writer
-	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 &&
-		float64(b.lag(ready[i], loads[pinned])) < b.target(inf)/3 {
-		return ready[i]
-	}
 	from := b.engines[inf.reader]
 	// A cell with fewer writers than readers cannot take all that is read there: a tie is kept near as often as
 	// the cell's writers bear, else all are equal.
@@ -514,9 +611,33 @@
 		}
 		return 1 + differ(e.Zone, from.Zone)
 	}
-	return b.roundRobin(ready, func(x, y *engine) int {
-		return cmp.Or(loads[x.Engine].streams-loads[y.Engine].streams, far(x)-far(y))
+	fresh := func(e *engine) bool { return b.now-e.reportAt < freshFor }
+	full := func(e *engine) float64 { return math.Round(10 * max(0.5, e.memory)) }
+	if i := slices.IndexFunc(tied, fresh); i >= 0 {
+		known := slices.DeleteFunc(tied, func(e *engine) bool { return !fresh(e) })
+		return b.roundRobin(known, func(x, y *engine) int {
+			return cmp.Or(cmp.Compare(full(x), full(y)), far(x)-far(y))
+		})
+	}
+	return b.roundRobin(tied, func(x, y *engine) int { return far(x) - far(y) })
+}
+
+// fewestStreams are the writers that tie: the session's alone if it is valid, else those with fewest own streams.
+func (b *Brain) fewestStreams(inf *inference) []*engine {
+	loads := b.loads()
+	ready := b.usable(inf, loads, func(e *engine) bool {
+		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e) && b.hasRoom(inf, e, loads[e.Engine])
 	})
+	pinned := b.pairOf(inf).writer
+	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 &&
+		float64(b.lag(ready[i], loads[pinned])) < b.target(inf)/3 {
+		return ready[i : i+1]
+	}
+	least := math.MaxInt
+	for _, e := range ready {
+		least = min(least, loads[e.Engine].streams)
+	}
+	return slices.DeleteFunc(ready, func(e *engine) bool { return loads[e.Engine].streams > least })
 }
 
 // bears is a cell's share of the writers over its share of the readers.
--- a/brain/state.go
+++ b/brain/state.go
@@ -34,7 +34,11 @@
 	fullUntil      int64
 	memory         float64 // share held, by the last report
 	reportAt       int64
-	goodAt         int64 // when it last did well
+	waits          float64 // reported: thousands of tokens to read, or inferences
+	askedAt        int64   // when it was last probed
+	heardAt        int64   // when a probe last ended
+	silentAt       int64   // when one last ended without an answer
+	goodAt         int64   // when it last did well
 }
 
 // sample is one lag: of a read, or of a wait for the first token.
@@ -60,6 +64,7 @@
 	sends   []send
 	freeAt  int64 // when the last outcome came, or the read ended
 	wakeSet bool
+	asked   []string // engines whose answers it waits for
 }
 
 // send is one try at one engine.
