--- a/brain/brain.go
+++ b/brain/brain.go
@@ -53,7 +53,7 @@
 
 // table lists, for the states in the first column, what an input leads to: the next state and the effect.
 var table = []rule{
-	{is(taken), in(arrive), asking, (*Brain).askReaders},
+	{is(taken), in(arrive), asking, (*Brain).askEngines},
 	{is(asking), in(told), taken, (*Brain).admit},
 	{is(taken), in(admitted, wake), reading, (*Brain).sendToReader},
 	{is(reading), in(readLost, notWritten, mayHaveRun, stateGone), reading, (*Brain).sendToReader},
@@ -241,6 +241,16 @@
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
 	// value, nearer to 0.4 the less a route is worth.
 	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
+	// Where all writers heard of are out of memory, states queue, or are read anew: those of least value go first.
+	full := math.Inf(1)
+	for _, e := range writers {
+		if b.fresh(e) {
+			full = min(full, e.memory)
+		}
+	}
+	if full < math.Inf(1) && full > 0.9+0.1*b.num(b.route(inf, "value"), 1)/most {
+		return hopeless
+	}
 	// States that wait here for a writer tell more than any lag.
 	var waits []int64
 	for _, other := range b.infs {
@@ -284,7 +294,7 @@
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
 		// 2 s: about the time that a queue takes to change; 0.7 s where nothing waits there, so none is.
 		age := time.Duration(b.now - s.at)
-		if age < 700*time.Millisecond || len(l.waits) > 0 && age < 2*time.Second {
+		if age < time.Duration(freshFor) || len(l.waits) > 0 && age < 2*time.Second {
 			seen, least = true, min(least, s.lag)
 		}
 	}
@@ -387,34 +397,38 @@
 
 // ---- asking
 
-// freshFor is how long a report stands for an engine: engines renew theirs in about half a second.
-const freshFor = int64(time.Second)
+// freshFor is how long news of an engine stands: queues turn over, and engines renew reports, in about that time.
+const freshFor = int64(700 * time.Millisecond)
 
-// askReaders asks the first homes how much waits there, as a node that sees little of the traffic cannot know.
-func (b *Brain) askReaders(inf *inference) input {
+// askEngines asks the first homes and some writers how much waits there, as a node that sees little of the traffic
+// cannot know: two of each, of which the calmer is mostly calm.
+func (b *Brain) askEngines(inf *inference) input {
 	b.prefixes = last(b.prefixes, inf.Prefix, 64)
 	homes := b.homesOf(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
-	return b.ask(inf, homes[:min(2, len(homes))])
+	return b.ask(inf, append(homes[:min(2, len(homes))], b.someWriters(inf)...))
 }
 
-// askWriters asks some of those that tie for fewest own streams, one of them near.
-func (b *Brain) askWriters(inf *inference) input {
+func (b *Brain) askWriters(inf *inference) input { return b.ask(inf, b.someWriters(inf)) }
+
+// someWriters are two of those that tie for fewest own streams; news at hand will do.
+func (b *Brain) someWriters(inf *inference) []*engine {
 	tied := b.fewestStreams(inf)
 	var some []*engine
-	for range min(2, len(tied)) {
-		some = append(some, b.roundRobin(tied, func(x, y *engine) int { return 0 }))
-	}
-	if p := b.pairOf(inf).writer; p != "" || len(tied) < 2 {
-		return told
+	if len(tied) > 1 && !slices.ContainsFunc(tied, b.fresh) {
+		for range 2 {
+			some = append(some, tied[int(b.chance()*float64(len(tied)))])
+		}
 	}
-	return b.ask(inf, some)
+	return some
 }
 
+func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor }
+
 // ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
 func (b *Brain) ask(inf *inference, engines []*engine) input {
 	inf.asked = inf.asked[:0]
 	for _, e := range engines {
-		if b.flag("limits.probes") && b.now-max(e.heardAt, e.reportAt) > freshFor && e.coldFrom == 0 {
+		if b.flag("limits.probes") && b.now-max(e.heardAt, e.reportAt) >= freshFor && e.coldFrom == 0 {
 			if e.askedAt <= e.heardAt {
 				e.askedAt = b.now
 				b.effects = append(b.effects, Probe{e.Engine})
@@ -463,6 +477,9 @@
 		return
 	}
 	e.memory, e.reportAt = report["memory_share"], b.now
+	if lag, ok := report["recent_lag_ms"]; ok {
+		e.samples = last(e.samples, sample{b.now, int64(lag * float64(time.Millisecond))}, 64)
+	}
 	e.waits = report["open"]
 	if w, ok := report["waiting_thousand_tokens"]; ok {
 		e.waits = w
@@ -611,10 +628,9 @@
 		}
 		return 1 + differ(e.Zone, from.Zone)
 	}
-	fresh := func(e *engine) bool { return b.now-e.reportAt < freshFor }
 	full := func(e *engine) float64 { return math.Round(10 * max(0.5, e.memory)) }
-	if i := slices.IndexFunc(tied, fresh); i >= 0 {
-		known := slices.DeleteFunc(tied, func(e *engine) bool { return !fresh(e) })
+	if slices.ContainsFunc(tied, b.fresh) {
+		known := slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
 		return b.roundRobin(known, func(x, y *engine) int {
 			return cmp.Or(cmp.Compare(full(x), full(y)), far(x)-far(y))
 		})
@@ -661,17 +677,17 @@
 const reportDelay = int64(500 * time.Millisecond)
 
 // hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It
-// goes by a report of the last second and what was sent since; else, as when a slow writer seldom answers, by
+// goes by a fresh report and what was sent since; else, as when a slow writer seldom answers, by
 // this node's own part, as if all nodes sent alike. A wrong guess, or a report that lies, costs a wait of
 // three quarters of the pin limit, never the inference. 1.05: reports are noisy.
 func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
 	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
 	used := l.tokens * b.num("nodes", 1)
-	if b.now-e.reportAt < int64(time.Second) {
+	if b.fresh(e) {
 		used = e.memory*memory + l.unseen
 	}
-	waited := float64(b.now-inf.freeAt) > 0.75*b.num("engine_facts.pin", 0)
-	return memory == 0 || waited || l.streams == 0 || used+inf.Prompt < 1.05*memory
+	waited := inf.state == held && float64(b.now-inf.freeAt) > 0.75*b.num("engine_facts.pin", 0)
+	return memory == 0 || waited || used == 0 || used+inf.Prompt < 1.05*memory
 }
 
 // ---- engines
--- a/simwire/wire.go
+++ b/simwire/wire.go
@@ -170,7 +170,8 @@
 }
 
 // reports maps the wire's names of load figures to the users' words.
-var reports = map[string]string{"x0": "memory_share", "x1": "waiting_thousand_tokens", "active": "open"}
+var reports = map[string]string{"x0": "memory_share", "x1": "waiting_thousand_tokens", "active": "open",
+	"avg_ms": "recent_lag_ms"}
 
 func report(telemetry map[string]float64) map[string]float64 {
 	out := map[string]float64{}
