Near writers first unless known to be full; cold ones with a place count as empty; lots by quarter windows

Cause: states that leave the reader's cell crowd its narrow link; after a restart of a whole role no node had sent to warm engines of late, so none had a place.

--- a/brain/api.go
+++ b/brain/api.go
@@ -181,7 +181,7 @@
 // take hands an input to the decisions.
 func (b *Brain) take(in Input) {
 	if !b.started {
-		b.started = true
+		b.started, b.firstAt = true, b.now
 		b.watch()
 	}
 	switch in := in.(type) {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -401,34 +401,49 @@
 const freshFor = int64(700 * time.Millisecond)
 
 // askEngines asks the first homes and some writers how much waits there, as a node that sees little of the traffic
-// cannot know: two of each, of which the calmer is mostly calm.
+// cannot know: two homes, of which the calmer is mostly calm.
 func (b *Brain) askEngines(inf *inference) input {
 	b.prefixes = last(b.prefixes, inf.Prefix, 64)
 	homes := b.homesOf(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
+	if len(homes) > 0 {
+		inf.reader = homes[0].Engine
+	}
 	return b.ask(inf, append(homes[:min(2, len(homes))], b.someWriters(inf)...))
 }
 
 func (b *Brain) askWriters(inf *inference) input { return b.ask(inf, b.someWriters(inf)) }
 
-// someWriters are two of those that tie for fewest own streams; news at hand will do.
+// someWriters are two of those that tie for fewest own streams and are nearest to the reader, and one from farther
+// off in case these are full; none if news at hand will do.
 func (b *Brain) someWriters(inf *inference) []*engine {
-	tied := b.fewestStreams(inf)
-	var some []*engine
-	if len(tied) > 1 && !slices.ContainsFunc(tied, b.fresh) {
-		for range 2 {
-			some = append(some, tied[int(b.chance()*float64(len(tied)))])
-		}
+	tied, from := b.fewestStreams(inf), b.engines[inf.reader]
+	if len(tied) < 2 {
+		return nil
+	}
+	mix := map[*engine]float64{}
+	for _, e := range tied {
+		mix[e] = float64(b.far(from, e)) + b.chance()
+	}
+	slices.SortFunc(tied, func(x, y *engine) int { return cmp.Compare(mix[x], mix[y]) })
+	near := b.far(from, tied[0])
+	some := tied[:2]
+	if i := slices.IndexFunc(tied, func(e *engine) bool { return b.far(from, e) > near }); i >= 2 {
+		some = append(slices.Clone(some), tied[i])
+	}
+	if slices.ContainsFunc(tied, func(e *engine) bool { return b.far(from, e) == near && b.fresh(e) && e.memory < 0.7 }) {
+		return nil
 	}
 	return some
 }
 
-func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor }
+// fresh is whether an engine's load is known; a cold one that has a place has hardly any.
+func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor || b.cold(e) }
 
 // ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
 func (b *Brain) ask(inf *inference, engines []*engine) input {
 	inf.asked = inf.asked[:0]
 	for _, e := range engines {
-		if b.flag("limits.probes") && b.now-max(e.heardAt, e.reportAt) >= freshFor && e.coldFrom == 0 {
+		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) {
 			if e.askedAt <= e.heardAt {
 				e.askedAt = b.now
 				b.effects = append(b.effects, Probe{e.Engine})
@@ -619,16 +634,9 @@
 		return nil
 	}
 	from := b.engines[inf.reader]
-	// A cell with fewer writers than readers cannot take all that is read there: a tie is kept near as often as
-	// the cell's writers bear, else all are equal.
-	near := from != nil && b.chance() < b.bears(from)
-	far := func(e *engine) int {
-		if !near || e.Cell == from.Cell {
-			return 0
-		}
-		return 1 + differ(e.Zone, from.Zone)
-	}
-	full := func(e *engine) float64 { return math.Round(10 * max(0.5, e.memory)) }
+	far := func(e *engine) int { return b.far(from, e) }
+	// What is known to hold under 0.7 of its memory is as good as empty.
+	full := func(e *engine) float64 { return math.Round(10 * max(0.7, e.memory)) }
 	if slices.ContainsFunc(tied, b.fresh) {
 		known := slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
 		return b.roundRobin(known, func(x, y *engine) int {
@@ -638,6 +646,14 @@
 	return b.roundRobin(tied, func(x, y *engine) int { return far(x) - far(y) })
 }
 
+// far is 0 within a cell, whose states move fast, 1 within a zone, else 2.
+func (b *Brain) far(from, to *engine) int {
+	if from == nil || to.Cell == from.Cell {
+		return 0
+	}
+	return 1 + differ(to.Zone, from.Zone)
+}
+
 // fewestStreams are the writers that tie: the session's alone if it is valid, else those with fewest own streams.
 func (b *Brain) fewestStreams(inf *inference) []*engine {
 	loads := b.loads()
@@ -818,38 +834,46 @@
 	return nothing
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the warm engines of
-// that role, each on average, is what one can do at least, so the cold share of it is this node's part of the
+func (b *Brain) cold(e *engine) bool {
+	return e.coldFrom != 0 && b.now-e.coldFrom <= int64(b.num("rules.cold", 0))
+}
+
+// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the engines of that
+// role of late, each on average, is what one can do at least, so the cold share of it is this node's part of the
 // budget. Whole places are its own; for the rest it draws lots with all nodes, the same at each, so that no more
-// win a window than there are places, and half as many as two windows in a row share a stretch of that length.
+// win than there are places.
 func (b *Brain) coldRoom(e *engine) bool {
-	if e.coldFrom == 0 || b.now-e.coldFrom > int64(b.num("rules.cold", 0)) {
+	if !b.cold(e) {
 		return true
 	}
-	const span = int64(4 * time.Second) // long enough to count some, short enough to be of now
-	since := func(o *engine, span int64) (n float64) {
-		for _, at := range o.sent {
+	const span = int64(20 * time.Second) // a node among many sends little; and all of a role may be cold at once
+	since := func(row []int64, span int64) (n float64) {
+		for _, at := range row {
 			if b.now-at < span {
 				n++
 			}
 		}
 		return n
 	}
-	window, sent, warm := int64(b.num("rules.fall_window", 1e9)), 0.0, 0.0
-	for _, id := range b.ids {
-		if o := b.engines[id]; o.Ready && o.reader == e.reader && o.writer == e.writer && b.now-o.coldFrom > span {
-			sent, warm = sent+since(o, span), warm+1
+	window, sent, like := int64(b.num("rules.fall_window", 1e9)), 0.0, 0.0
+	for _, o := range b.engines {
+		if o.reader == e.reader && o.writer == e.writer {
+			sent += since(o.sent, span)
+			if o.Ready {
+				like++
+			}
 		}
 	}
-	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * sent / max(1, warm) *
-		float64(window) / float64(span)
-	nodes := max(1, b.num("nodes", 1))
-	first := float64(hash(fmt.Sprint(e.Engine, b.now/window))%1e6) / 1e6 * nodes
-	whole, rest := math.Modf(places)
-	if math.Mod(b.num("me", 0)+first, nodes) < rest*nodes/2 {
+	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * sent / max(1, like) *
+		float64(window) / float64(min(span, max(window, b.now-b.firstAt)))
+	// Any window touches five quarters at most, so each quarter gives out a fifth.
+	nodes, whole, rest := max(1, b.num("nodes", 1)), 0.0, 0.0
+	whole, rest = math.Modf(places)
+	first := float64(hash(fmt.Sprint(e.Engine, 4*b.now/window))%1e6) / 1e6 * nodes
+	if math.Mod(b.num("me", 0)+first, nodes) < rest*nodes/5 && since(e.sent, window/4) == 0 {
 		whole++
 	}
-	return since(e, window) < whole
+	return since(e.sent, window) < whole
 }
 
 func (b *Brain) learnEngines(news EngineNews) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -14,6 +14,7 @@
 	token    int64
 	turn     int // round robin
 	started  bool
+	firstAt  int64    // when it started
 	expects  []sample // how far over a quarter of the target the last arrivals' expected waits were
 	prefixes []string // shared beginnings of the last arrivals
 	firsts   []sample // how far over the target the last first tokens came
