Fold: one choice of reader for admission and send, one measure of jams; reported loads paced by own reads

What an engine reports waiting counts, times what own reads took for each such unit, as its lag where no own sample is; usual lags are taken over engines of which something is known; a read that comes back is admitted anew. The measure of expected waits and the dropping of late reads are gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -8,63 +8,27 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
 )
 
-const (
-	taken     state = iota // nothing is out, no state is held
-	asking                 // it waits for news of its readers
-	reading                // a reader's send is out
-	held                   // the state waits at the reader, nothing is out
-	writing                // a writer's send is out
-	streaming              // the client gets the answer
-	ended                  // answered, or nobody waits
-)
-
-const (
-	nothing    input = iota
-	arrive           // the node has taken it
-	wake             // a wait is over
-	timeUp           // the client is about to give up
-	clientGone       // the client has given up
-	readDone         // the state waits at the reader
-	readLost         // a reader's send ended without a state
-	notWritten       // a writer surely never ran it, the state is kept
-	stateGone        // a writer surely never ran it, the state is gone
-	mayHaveRun       // a writer's send ended and it may have run
-	firstToken       // the stream began
-	over             // the final answer is with the client, or the stream broke
-	noReader         // no reader may be sent to now
-	noWriter         // no writer may be sent to now
-	spent            // no further send is allowed
-	admitted         // it can be in time
-	hopeless         // it cannot be in time
-	told             // what was asked of engines is known, or they are silent
-	overtaken        // its engine has answered what was sent later
-	tooLate          // its target has passed before it was read
-)
-
-var (
-	open = []state{taken, asking, reading, held, writing}
-	all  = append(open[:len(open):len(open)], streaming, ended)
-)
-
 // table lists, for the states in the first column, what an input leads to: the next state and the effect.
 var table = []rule{
 	{is(taken), in(arrive), asking, (*Brain).askEngines},
-	{is(asking), in(told), taken, (*Brain).admit},
-	{is(taken), in(admitted, wake), reading, (*Brain).sendToReader},
-	{is(reading), in(readLost, notWritten, mayHaveRun, stateGone), reading, (*Brain).sendToReader},
-	{is(reading), in(noReader, noWriter), taken, (*Brain).wait},
+	{is(asking), in(told), taken, (*Brain).chooseReader},
+	{is(taken), in(wake), taken, (*Brain).chooseReader},
+	{is(taken), in(chosen), taken, (*Brain).admit},
+	{is(taken), in(admitted), reading, (*Brain).sendToReader},
+	{is(taken, reading), in(noReader, noWriter), taken, (*Brain).wait},
+	{is(reading), in(readLost, notWritten, mayHaveRun, stateGone), taken, (*Brain).chooseReader},
 	{is(reading), in(readDone), held, (*Brain).askWriters},
 	{is(held), in(told, wake), writing, (*Brain).sendToWriter},
 	{is(writing), in(notWritten, mayHaveRun), writing, (*Brain).sendToWriter},
 	{is(writing), in(noWriter), held, (*Brain).wait},
-	{is(writing), in(stateGone), reading, (*Brain).sendToReader},
+	{is(writing), in(stateGone), taken, (*Brain).chooseReader},
 	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
-	{is(reading), in(tooLate), reading, (*Brain).dropLate},
 	{is(reading), in(overtaken), reading, (*Brain).withdraw},
 	{is(writing), in(overtaken), writing, (*Brain).withdraw},
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
@@ -145,6 +109,9 @@
 	}
 	e.sent = last(e.sent, b.now, 64)
 	inf.sends = append(inf.sends, send{engine: e.Engine, at: b.now, writes: e.writer, out: true})
+	if b.fresh(e) {
+		inf.sends[len(inf.sends)-1].waits = 1 + e.waits
+	}
 	b.effects = append(b.effects, Send{Inf: inf.Inf, Engine: e.Engine})
 	return nothing
 }
@@ -225,94 +192,73 @@
 // harmless. Streams that return after a break have begun already and are always taken.
 func (b *Brain) admit(inf *inference) input {
 	loads := b.loads()
-	reader := b.pickReader(inf, loads)
+	reader := b.engines[inf.reader]
 	writers := b.usable(inf, loads, func(e *engine) bool { return e.writer })
-	if reader == nil || len(writers) == 0 || inf.Resumed {
+	if len(writers) == 0 || inf.Resumed {
 		return admitted
 	}
+	value, least := b.valueShare(inf), math.Inf(1)
 	var lags []int64
 	for _, e := range writers {
-		lags = append(lags, b.lag(e, loads[e.Engine]))
-	}
-	most := 1e-9
-	for i := range int(b.num("routes.count", 0)) {
-		most = max(most, b.num(fmt.Sprintf("routes.%d.value", i), 1))
-	}
-	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
-	// value, nearer to 0.4 the less a route is worth.
-	line := (0.4 + 0.4*b.num(b.route(inf, "value"), 1)/most) * b.target(inf)
-	// Where all writers heard of are out of memory, states queue, or are read anew: those of least value go first.
-	full := math.Inf(1)
-	for _, e := range writers {
+		lag, _ := b.lag(e, loads[e.Engine])
+		lags = append(lags, lag)
 		if b.fresh(e) {
-			full = min(full, e.memory)
+			least = min(least, e.memory)
 		}
 	}
-	if full < math.Inf(1) && full > 0.9+0.1*b.num(b.route(inf, "value"), 1)/most {
+	// Where all writers heard of are out of memory, states queue, or are read anew: those of least value go first.
+	if !math.IsInf(least, 1) && least > 0.9+0.1*value {
 		return hopeless
 	}
+	lag, _ := b.lag(reader, loads[reader.Engine])
 	// States that wait here for a writer tell more than any lag.
-	var waits []int64
-	for _, other := range b.infs {
-		if other.state == held {
-			waits = append(waits, b.now-other.freeAt)
+	expected := float64(b.now - inf.at + median(b.heldFor()) + lag + median(lags))
+	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
+	// value, nearer to 0.4 the less a route is worth. What came late of late, within 4 s, tells what lags do not;
+	// in a lasting jam, what must be read in full feeds the jam.
+	late := 0.0
+	for _, s := range b.firsts {
+		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
+			late++
 		}
 	}
-	expected := float64(median(waits) + b.lag(reader, loads[reader.Engine]) + median(lags))
-	// What came late of late tells what lags do not. Short jams clear by themselves; in a lasting one, what must
-	// be read in full feeds the jam.
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
-	b.expects = last(b.expects, sample{b.now, int64(expected - 0.25*b.target(inf))}, 48)
-	line *= (1 - b.shareOver(b.firsts)*(0.4+0.6*unread)) * (1 - 0.6*b.shareOver(b.expects)*unread)
-	if expected > line {
+	if expected > (0.4+0.4*value)*b.target(inf)*(1-late/32*(0.4+0.6*unread)) {
 		return hopeless
 	}
 	return admitted
 }
 
-// shareOver is how many of the last arrivals, or first tokens, were over their line, within 4 s.
-func (b *Brain) shareOver(row []sample) float64 {
-	over := 0.0
-	for _, s := range row {
-		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
-			over++
-		}
-	}
-	return over / max(32, float64(len(row)))
-}
-
-// target is the time in which the first token is wanted.
-func (b *Brain) target(inf *inference) float64 {
-	per := b.num(fmt.Sprintf("engine_facts.target_per_1000_tokens.%d", inf.Route), 0)
-	return b.num(b.route(inf, "first_token_target"), 1e9) + per*inf.Prompt/1000
-}
-
-// lag is how long all sends wait at an engine now: the least seen of late, as heavy sends need long anywhere,
-// or what is out where that has waited longer.
-func (b *Brain) lag(e *engine, l load) int64 {
+// lag is how long all sends wait at an engine now, and whether that is known: the least seen of late, as heavy
+// sends need long anywhere, or what its report makes of it, or what is out where that has waited longer.
+func (b *Brain) lag(e *engine, l load) (int64, bool) {
 	seen, least := false, int64(math.MaxInt64)
 	for _, s := range e.samples[max(0, len(e.samples)-8):] {
-		// 2 s: about the time that a queue takes to change; 0.7 s where nothing waits there, so none is.
-		age := time.Duration(b.now - s.at)
-		if age < time.Duration(freshFor) || len(l.waits) > 0 && age < 2*time.Second {
+		// 2 s: about the time that a queue takes to change; less where nothing waits there, so none is.
+		if age := b.now - s.at; age < freshFor || len(l.waits) > 0 && age < int64(2*time.Second) {
 			seen, least = true, min(least, s.lag)
 		}
 	}
-	if seen {
-		return max(least, median(l.waits))
+	if !seen && e.reader && b.now-e.reportAt < freshFor {
+		seen, least = true, int64(float64(median(b.paces))*(1+e.waits))
+	}
+	if !seen {
+		least = 0
 	}
-	return median(l.waits)
+	return max(least, median(l.waits)), seen || len(l.waits) > 0
 }
 
 // ---- readers
 
-func (b *Brain) sendToReader(inf *inference) input {
+func (b *Brain) sendToReader(inf *inference) input { return b.gate(inf, b.engines[inf.reader]) }
+
+func (b *Brain) chooseReader(inf *inference) input {
 	e := b.pickReader(inf, b.loads())
 	if e == nil {
 		return noReader
 	}
 	inf.reader = e.Engine
-	return b.gate(inf, e)
+	return chosen
 }
 
 // margin is the design's starting value; 1.5 and 3 did no better.
@@ -342,176 +288,61 @@
 	least := func(x, y *engine) int { return cmp.Or(load(x)-load(y), away(x)-away(y)) }
 	overlap := func(e *engine) float64 { return b.overlap(inf, e) }
 	// A node that no other tells does not know a session's earlier reader. Then a session unknown here goes to
-	// its home, unless that is over the cap by its report, which counts all nodes' sends, or silent.
-	homes := b.homesOf(inf, ready)
-	homes = homes[:min(2, len(homes))]
-	for _, fits := range []func(*engine) bool{b.calm, func(*engine) bool { return true }} {
-		if e := best(homes, func(e *engine) bool { return under(e) && fits(e) }, byHash(inf.Session)); e != nil {
-			return e
+	// its home, or its second one where the first is over the cap, also by its report, or silent.
+	homes := b.homes(inf, ready)
+	for _, fits := range []func(*engine) bool{func(e *engine) bool { return b.calm(inf, e) }, under} {
+		if i := slices.IndexFunc(homes, func(e *engine) bool { return under(e) && fits(e) }); i >= 0 {
+			return homes[i]
 		}
 	}
-	if e := best(ready, func(e *engine) bool { return under(e) && overlap(e) > 0 },
-		func(x, y *engine) int {
-			return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), least(x, y), byHash(inf.Session)(x, y))
-		}); e != nil {
+	some := func(e *engine) bool { return overlap(e) > 0 }
+	most := func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), least(x, y)) }
+	if e := best(byHash(inf.Session, ready), func(e *engine) bool { return under(e) && some(e) }, most); e != nil {
 		return e
 	}
-	some := func(e *engine) bool { return overlap(e) > 0 }
 	if !slices.ContainsFunc(ready, some) {
-		key := cmp.Or(inf.Prefix, inf.Session)
-		if e := ready[hash(key)%uint64(len(ready))]; under(e) {
+		if e := byHash(cmp.Or(inf.Prefix, inf.Session), ready)[0]; under(e) {
 			return e
 		}
 	}
-	if e := best(ready, under, least); e != nil {
-		return e
-	}
-	if e := best(ready, some, least); e != nil {
-		return e
-	}
-	return b.roundRobin(ready, least)
+	return cmp.Or(best(ready, under, least), best(ready, some, least), b.roundRobin(ready, least))
 }
 
-// homes are the readers that keep a shared beginning, the same at all nodes: two, as each copy takes memory that
-// sessions need, or as many as bring its share of the arrivals under the cap that all nodes' loads would give.
-func (b *Brain) homesOf(inf *inference, ready []*engine) []*engine {
+// homes are the two first readers, the same at all nodes, that a session hashes to among those that keep its shared
+// beginning: two, as each copy takes memory that sessions need, or so many that none reads more than half of a
+// reader's fair share for it. There are none where the session is known here or others tell.
+func (b *Brain) homes(inf *inference, ready []*engine) []*engine {
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
 	if b.num("nodes", 1) < 2 || b.tells() || slices.ContainsFunc(ready, known) {
 		return nil
 	}
-	seen := -1 // this one tells nothing of how many there are
-	for _, p := range b.prefixes {
-		if p == inf.Prefix {
-			seen++
-		}
-	}
-	n := max(2, int(math.Ceil(2*float64(seen*len(ready))/float64(len(b.prefixes)))))
 	homes := slices.Clone(ready)
 	if inf.Prefix != "" {
-		slices.SortFunc(homes, byHash(inf.Prefix))
-		homes = homes[:min(n, len(homes))]
-	}
-	slices.SortFunc(homes, byHash(inf.Session))
-	return homes
-}
-
-// ---- asking
-
-// freshFor is how long news of an engine stands: queues turn over, and engines renew reports, in about that time.
-const freshFor = int64(700 * time.Millisecond)
-
-// askEngines asks the first homes and some writers how much waits there, as a node that sees little of the traffic
-// cannot know: two homes, of which the calmer is mostly calm.
-func (b *Brain) askEngines(inf *inference) input {
-	b.prefixes = last(b.prefixes, inf.Prefix, 64)
-	homes := b.homesOf(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
-	if len(homes) > 0 {
-		inf.reader = homes[0].Engine
-	}
-	return b.ask(inf, append(homes[:min(2, len(homes))], b.someWriters(inf)...))
-}
-
-func (b *Brain) askWriters(inf *inference) input { return b.ask(inf, b.someWriters(inf)) }
-
-// someWriters are two of those that tie for fewest own streams and are nearest to the reader, and one from farther
-// off in case these are full; none if news at hand will do.
-func (b *Brain) someWriters(inf *inference) []*engine {
-	tied, from := b.fewestStreams(inf), b.engines[inf.reader]
-	if len(tied) < 2 {
-		return nil
-	}
-	mix := map[*engine]float64{}
-	for _, e := range tied {
-		mix[e] = float64(b.far(from, e)) + b.chance()
-	}
-	slices.SortFunc(tied, func(x, y *engine) int { return cmp.Compare(mix[x], mix[y]) })
-	near := b.far(from, tied[0])
-	some := tied[:2]
-	if i := slices.IndexFunc(tied, func(e *engine) bool { return b.far(from, e) > near }); i >= 2 {
-		some = append(slices.Clone(some), tied[i])
-	}
-	if slices.ContainsFunc(tied, func(e *engine) bool { return b.far(from, e) == near && b.fresh(e) && e.memory < 0.7 }) {
-		return nil
-	}
-	return some
-}
-
-// fresh is whether an engine's load is known; a cold one that has a place has hardly any.
-func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor || b.cold(e) }
-
-// ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
-func (b *Brain) ask(inf *inference, engines []*engine) input {
-	inf.asked = inf.asked[:0]
-	for _, e := range engines {
-		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) {
-			if e.askedAt <= e.heardAt {
-				e.askedAt = b.now
-				b.effects = append(b.effects, Probe{e.Engine})
-			}
-			inf.asked = append(inf.asked, e.Engine)
+		seen := -1 // this one tells nothing of how many there are
+		for _, p := range b.prefixes {
+			seen += 1 - differ(p, inf.Prefix)
 		}
+		n := max(2, int(math.Ceil(2*float64(seen*len(ready))/float64(len(b.prefixes)))))
+		homes = byHash(inf.Prefix, homes)[:min(n, len(homes))]
 	}
-	if len(inf.asked) == 0 {
-		return told
-	}
-	// 50 ms: several times what an engine needs that is not in trouble.
-	b.arm(inf, told, int64(50*time.Millisecond))
-	return nothing
-}
-
-// takeAnswer notes what an engine says of itself; one that says nothing is in trouble.
-func (b *Brain) takeAnswer(p ProbeResult) {
-	e := b.engines[p.Engine]
-	if e == nil {
-		return
-	}
-	e.heardAt = b.now
-	if p.Verdict == Completed {
-		b.learnReport(e, p.Report)
-	} else {
-		e.silentAt = b.now
-	}
-	var ready []*inference
-	for _, inf := range b.infs {
-		if i := slices.Index(inf.asked, p.Engine); i >= 0 {
-			if inf.asked = slices.Delete(inf.asked, i, i+1); len(inf.asked) == 0 {
-				ready = append(ready, inf)
-			}
-		}
-	}
-	slices.SortFunc(ready, func(x, y *inference) int { return cmp.Compare(x.Inf, y.Inf) })
-	for _, inf := range ready {
-		b.drive(inf, told)
-		b.forget(inf)
-	}
+	homes = byHash(inf.Session, homes)
+	return homes[:min(2, len(homes))]
 }
 
-// learnReport keeps an engine's load as it counts all nodes' sends: thousands of tokens to read, else inferences.
-func (b *Brain) learnReport(e *engine, report map[string]float64) {
-	if e == nil || len(report) == 0 {
-		return
-	}
-	e.memory, e.reportAt = report["memory_share"], b.now
-	if lag, ok := report["recent_lag_ms"]; ok {
-		e.samples = last(e.samples, sample{b.now, int64(lag * float64(time.Millisecond))}, 64)
-	}
-	e.waits = report["open"]
-	if w, ok := report["waiting_thousand_tokens"]; ok {
-		e.waits = w
+// calm is whether an engine answers and what it reports makes a wait that is short against the target, as a read
+// in full elsewhere takes longer, or under the cap, over the readers heard of in 10 s.
+func (b *Brain) calm(inf *inference, e *engine) bool {
+	if e.askedAt > e.heardAt || e.silentAt > max(e.reportAt, b.now-int64(5*time.Second)) {
+		return false
 	}
-}
-
-// calm is whether an engine answers and its reported load is under the cap, taken over the readers heard of in
-// 10 s. Up to 8, some 8 inferences or 8,000 tokens, a wait is shorter than a read in full elsewhere.
-func (b *Brain) calm(e *engine) bool {
 	sum, n := 0.0, 0.0
 	for _, id := range b.ids {
 		if o := b.engines[id]; o.reader && o.reportAt > b.now-int64(10*time.Second) {
 			sum, n = sum+o.waits, n+1
 		}
 	}
-	silent := e.askedAt > e.heardAt || e.silentAt > max(e.reportAt, b.now-int64(5*time.Second))
-	return !silent && e.waits <= max(8, (1+margin)*sum/max(1, n))
+	lag, _ := b.lag(e, load{})
+	return float64(lag) < b.target(inf)/4 || e.waits <= (1+margin)*sum/max(1, n)
 }
 
 // pairOf is where the session was served last, if that is not too long ago.
@@ -526,7 +357,8 @@
 // capacity is the weight that the operator gives. What other nodes load, and what is slow, shows only as lag,
 // so past a fifth of the target, which calm sends stay under, it falls as lag grows.
 func (b *Brain) capacity(inf *inference, e *engine, l load) float64 {
-	return e.Weight / max(1, 5*float64(b.lag(e, l))/b.target(inf))
+	lag, _ := b.lag(e, l)
+	return e.Weight / max(1, 5*float64(lag)/b.target(inf))
 }
 
 // overlap is how much of the prompt a reader is thought to keep; under a fifth counts as none.
@@ -560,23 +392,10 @@
 	if inf.Prefix != "" {
 		b.kept[prefix] = kept{inf.PrefixTokens, b.now}
 	}
-	// 20,000 entries: a few megabytes; then the older half goes.
+	// 20,000 entries: a few megabytes; then what is older than a minute goes.
 	if len(b.kept) > 20000 {
-		var ages []int64
-		for _, v := range b.kept {
-			ages = append(ages, v.at)
-		}
-		slices.Sort(ages)
-		for k, v := range b.kept {
-			if v.at <= ages[len(ages)/2] {
-				delete(b.kept, k)
-			}
-		}
-		for s, p := range b.pairs {
-			if p.at <= ages[len(ages)/2] {
-				delete(b.pairs, s)
-			}
-		}
+		maps.DeleteFunc(b.kept, func(_ keptKey, v kept) bool { return b.now-v.at > int64(time.Minute) })
+		maps.DeleteFunc(b.pairs, func(_ string, p pair) bool { return b.now-p.at > int64(time.Minute) })
 	}
 }
 
@@ -596,15 +415,85 @@
 	}
 }
 
-func (b *Brain) hear(text string) {
-	var session, reader, writer string
-	var tokens float64
-	_, err := fmt.Sscanf(text, "kept %q %q %q %f", &session, &reader, &writer, &tokens)
-	if err != nil || b.engines[reader] == nil {
-		return // of another version, or of an engine that this node does not know
+// ---- asking
+
+// freshFor is how long news of an engine stands: queues turn over, and engines renew reports, in about that time.
+const freshFor = int64(700 * time.Millisecond)
+
+// fresh is whether an engine's load is known; a cold one that has a place has hardly any.
+func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor || b.cold(e) }
+
+// askEngines asks the homes and some writers for their load, as a node that sees little of the traffic cannot
+// know it.
+func (b *Brain) askEngines(inf *inference) input {
+	b.prefixes = last(b.prefixes, inf.Prefix, 64)
+	homes := b.homes(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
+	if len(homes) > 0 {
+		inf.reader = homes[0].Engine
+	}
+	return b.ask(inf, append(homes, b.someWriters(inf)...))
+}
+
+func (b *Brain) askWriters(inf *inference) input { return b.ask(inf, b.someWriters(inf)) }
+
+// someWriters are two of those that tie for fewest own streams and are nearest to the reader, and one from farther
+// off in case these are full; none if news at hand will do.
+func (b *Brain) someWriters(inf *inference) []*engine {
+	tied, from, mix := b.fewestStreams(inf), b.engines[inf.reader], map[*engine]float64{}
+	for _, e := range tied {
+		mix[e] = float64(far(from, e)) + b.chance()
+	}
+	slices.SortFunc(tied, func(x, y *engine) int { return cmp.Compare(mix[x], mix[y]) })
+	nearest := func(e *engine) bool { return far(from, e) == far(from, tied[0]) }
+	if len(tied) < 2 || slices.ContainsFunc(tied, func(e *engine) bool { return nearest(e) && b.fresh(e) && e.memory < roomy }) {
+		return nil
+	}
+	other := slices.IndexFunc(tied, func(e *engine) bool { return !nearest(e) })
+	return append(tied[:2:2], tied[max(1, other)])
+}
+
+// ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
+func (b *Brain) ask(inf *inference, engines []*engine) input {
+	inf.asked = inf.asked[:0]
+	for _, e := range engines {
+		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) {
+			if e.askedAt <= e.heardAt {
+				e.askedAt = b.now
+				b.effects = append(b.effects, Probe{e.Engine})
+			}
+			inf.asked = append(inf.asked, e.Engine)
+		}
+	}
+	if len(inf.asked) == 0 {
+		return told
+	}
+	// 50 ms: several times what an engine needs that is not in trouble.
+	b.arm(inf, told, int64(50*time.Millisecond))
+	return nothing
+}
+
+// takeAnswer notes what an engine says of itself; one that says nothing is in trouble.
+func (b *Brain) takeAnswer(p ProbeResult) {
+	e := b.engines[p.Engine]
+	if e == nil {
+		return
+	}
+	e.heardAt = b.now
+	if p.Verdict == Completed {
+		b.learnReport(e, p.Report)
+	} else {
+		e.silentAt = b.now
+	}
+	for _, inf := range b.those(func(inf *inference) bool {
+		i := slices.Index(inf.asked, p.Engine)
+		if i >= 0 {
+			inf.asked = slices.Delete(inf.asked, i, i+1)
+		}
+		return i >= 0 && len(inf.asked) == 0
+	}) {
+		b.drive(inf, told)
+		b.forget(inf)
 	}
-	b.pairs[session] = pair{reader, writer, b.now}
-	b.kept[keptKey{true, session, reader}] = kept{tokens, b.now}
 }
 
 // ---- writers
@@ -625,33 +514,26 @@
 	return b.gate(inf, e)
 }
 
+// roomy is the share of its memory up to which a writer counts as empty: above it the next heavy prompt may wait.
+const roomy = 0.7
+
 // pickWriter takes the session's writer if it is valid, else the one with fewest own streams. Among many nodes
-// nearly all tie, so what is known of a tie's memory comes next, past the half that costs nothing; then the
-// reader's cell, then its zone, then chance.
+// nearly all tie, so what is known of a tie's memory comes next; then the reader's cell, then its zone, then chance.
 func (b *Brain) pickWriter(inf *inference) *engine {
 	tied := b.fewestStreams(inf)
 	if len(tied) == 0 {
 		return nil
 	}
 	from := b.engines[inf.reader]
-	far := func(e *engine) int { return b.far(from, e) }
-	// What is known to hold under 0.7 of its memory is as good as empty.
-	full := func(e *engine) float64 { return math.Round(10 * max(0.7, e.memory)) }
+	full := func(e *engine) float64 { return math.Round(10 * max(roomy, e.memory)) }
 	if slices.ContainsFunc(tied, b.fresh) {
-		known := slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
-		return b.roundRobin(known, func(x, y *engine) int {
-			return cmp.Or(cmp.Compare(full(x), full(y)), far(x)-far(y))
-		})
-	}
-	return b.roundRobin(tied, func(x, y *engine) int { return far(x) - far(y) })
-}
-
-// far is 0 within a cell, whose states move fast, 1 within a zone, else 2.
-func (b *Brain) far(from, to *engine) int {
-	if from == nil || to.Cell == from.Cell {
-		return 0
+		tied = slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
+	} else {
+		full = func(*engine) float64 { return 0 }
 	}
-	return 1 + differ(to.Zone, from.Zone)
+	return b.roundRobin(tied, func(x, y *engine) int {
+		return cmp.Or(cmp.Compare(full(x), full(y)), far(from, x)-far(from, y))
+	})
 }
 
 // fewestStreams are the writers that tie: the session's alone if it is valid, else those with fewest own streams.
@@ -661,9 +543,10 @@
 		return e.writer && e.fullUntil <= b.now && b.mayRepeat(inf, e) && b.hasRoom(inf, e, loads[e.Engine])
 	})
 	pinned := b.pairOf(inf).writer
-	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 &&
-		float64(b.lag(ready[i], loads[pinned])) < b.target(inf)/3 {
-		return ready[i : i+1]
+	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == pinned }); i >= 0 {
+		if lag, _ := b.lag(ready[i], loads[pinned]); float64(lag) < b.target(inf)/3 {
+			return ready[i : i+1]
+		}
 	}
 	least := math.MaxInt
 	for _, e := range ready {
@@ -672,23 +555,6 @@
 	return slices.DeleteFunc(ready, func(e *engine) bool { return loads[e.Engine].streams > least })
 }
 
-// bears is a cell's share of the writers over its share of the readers.
-func (b *Brain) bears(from *engine) float64 {
-	var readers, writers, nearReaders, nearWriters float64
-	for _, id := range b.ids {
-		if e := b.engines[id]; e.Ready {
-			here := float64(1 - differ(e.Cell, from.Cell))
-			if e.reader {
-				readers, nearReaders = readers+1, nearReaders+here
-			}
-			if e.writer {
-				writers, nearWriters = writers+1, nearWriters+here
-			}
-		}
-	}
-	return nearWriters / max(1, writers) * readers / max(1, nearReaders)
-}
-
 // Reports travel and are refreshed for about half a second; what was sent since then is not in them.
 const reportDelay = int64(500 * time.Millisecond)
 
@@ -714,7 +580,10 @@
 	var lags []int64
 	for _, id := range b.ids {
 		if e := b.engines[id]; e.Ready && fits(e) && b.coldRoom(e) {
-			fit, lags = append(fit, e), append(lags, b.lag(e, loads[id]))
+			fit = append(fit, e)
+			if lag, known := b.lag(e, loads[id]); known {
+				lags = append(lags, lag)
+			}
 		}
 	}
 	usual := median(lags)
@@ -734,7 +603,7 @@
 // fleet's lags look like trouble too, so they are measured against other engines'.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
-	if lag := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
+	if lag, _ := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
 		return false
 	}
 	n := 0
@@ -770,6 +639,9 @@
 	case ReadDone:
 		b.learnKept(inf, s.engine, o.Note)
 		b.learnLag(e, o.Lag, s.at)
+		if s.waits > 0 {
+			b.paces = last(b.paces, int64(float64(o.Lag)/s.waits), 32)
+		}
 	case Full:
 		// 150 ms: about the time in which a busy writer ends one answer.
 		e.fullUntil = b.now + int64(150*time.Millisecond)
@@ -794,35 +666,21 @@
 		e.coldFrom = b.now
 	}
 	e.trial, e.goodAt = false, b.now
-	var lost []*inference
-	for _, inf := range b.infs {
+	for _, inf := range b.those(func(inf *inference) bool {
 		n := len(inf.sends) - 1
 		if n < 0 || !inf.sends[n].out || inf.sends[n].began || inf.sends[n].engine != e.Engine {
-			continue
+			return false
 		}
 		s := &inf.sends[n]
 		if s.at < sentAt {
 			s.overtaken++
 		}
-		if s.overtaken >= 2 && float64(b.now-s.at) > b.target(inf)/6 {
-			lost = append(lost, inf)
-		}
-	}
-	slices.SortFunc(lost, func(x, y *inference) int { return cmp.Compare(x.Inf, y.Inf) })
-	for _, inf := range lost {
+		return s.overtaken >= 2 && float64(b.now-s.at) > b.target(inf)/6
+	}) {
 		b.drive(inf, overtaken)
 	}
 }
 
-// dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
-// takes the place of one that could be in time.
-func (b *Brain) dropLate(inf *inference) input {
-	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.shareOver(b.firsts) > 0.2 {
-		return hopeless
-	}
-	return nothing
-}
-
 // withdraw gives up the wait for the send that is out, where another may follow it.
 func (b *Brain) withdraw(inf *inference) input {
 	s := &inf.sends[len(inf.sends)-1]
@@ -885,37 +743,7 @@
 		b.effects = append(b.effects, ArmTimer{b.token, after})
 		return
 	}
-	seen := map[string]bool{}
-	for _, n := range news.Engines {
-		seen[n.Engine] = true
-		e, known := b.engines[n.Engine]
-		if !known {
-			e = &engine{}
-			b.engines[n.Engine] = e
-		}
-		if n.UpSince > e.UpSince {
-			// It has started anew: cold, and all that it kept is gone.
-			e.coldFrom, e.samples, e.strikes, e.trial = n.UpSince, nil, nil, false
-			b.dropKept(n.Engine, b.now)
-		}
-		if n.Weight <= 0 {
-			n.Weight = 1
-		}
-		e.EngineEntry = n
-		role := b.word(fmt.Sprintf("engine_facts.role_of_kind.%d", n.Kind))
-		e.reader, e.writer = role != "write", role != "read"
-	}
-	for id, e := range b.engines {
-		if news.Whole && !seen[id] || e.Out {
-			e.Ready = false
-			b.dropKept(id, b.now)
-		}
-	}
-	b.ids = b.ids[:0]
-	for id := range b.engines {
-		b.ids = append(b.ids, id)
-	}
-	slices.Sort(b.ids)
+	b.keepList(news)
 }
 
 // watch asks discovery for news where it does not come by itself.
--- a/brain/help.go
+++ b/brain/help.go
@@ -7,14 +7,15 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"time"
 )
 
-// median is 0 of none; it sorts the row.
+// median is 0 of none.
 func median(row []int64) int64 {
 	if len(row) == 0 {
 		return 0
 	}
-	slices.Sort(row)
+	row = slices.Sorted(slices.Values(row))
 	return row[len(row)/2]
 }
 
@@ -50,9 +51,32 @@
 	return x ^ x>>33
 }
 
-// byHash orders engines by key and id, the same at all nodes.
-func byHash(key string) func(x, y *engine) int {
-	return func(x, y *engine) int { return cmp.Compare(hash(x.Engine+key), hash(y.Engine+key)) }
+// byHash sorts engines by a hash of id and key, the same at all nodes.
+func byHash(key string, row []*engine) []*engine {
+	sums := map[*engine]uint64{}
+	for _, e := range row {
+		sums[e] = hash(e.Engine + key)
+	}
+	slices.SortFunc(row, func(x, y *engine) int { return cmp.Compare(sums[x], sums[y]) })
+	return row
+}
+
+// far is 0 within a cell, 1 within a zone, else 2.
+func far(from, to *engine) int {
+	if from == nil || to.Cell == from.Cell {
+		return 0
+	}
+	return 1 + differ(to.Zone, from.Zone)
+}
+
+// since counts the times in a row that are less than a span ago.
+func (b *Brain) since(row []int64, span int64) (n float64) {
+	for _, at := range row {
+		if b.now-at < span {
+			n++
+		}
+	}
+	return n
 }
 
 // chance is the next number of this instance between 0 and 1.
@@ -133,9 +157,106 @@
 }
 
 // differ is 0 for the same, else 1.
-func differ(x, y int) int {
+func differ[T comparable](x, y T) int {
 	if x == y {
 		return 0
 	}
 	return 1
 }
+
+// keepList takes over what a list says. An engine that has started anew is cold, and all that it kept is gone.
+func (b *Brain) keepList(news EngineNews) {
+	seen := map[string]bool{}
+	for _, n := range news.Engines {
+		seen[n.Engine] = true
+		e, known := b.engines[n.Engine]
+		if !known {
+			e = &engine{}
+			b.engines[n.Engine] = e
+		}
+		if n.UpSince > e.UpSince {
+			e.coldFrom, e.samples, e.strikes, e.trial = n.UpSince, nil, nil, false
+			b.dropKept(n.Engine, b.now)
+		}
+		if n.Weight <= 0 {
+			n.Weight = 1
+		}
+		e.EngineEntry = n
+		role := b.word(fmt.Sprintf("engine_facts.role_of_kind.%d", n.Kind))
+		e.reader, e.writer = role != "write", role != "read"
+	}
+	for id, e := range b.engines {
+		if news.Whole && !seen[id] || e.Out {
+			e.Ready = false
+			b.dropKept(id, b.now)
+		}
+	}
+	b.ids = b.ids[:0]
+	for id := range b.engines {
+		b.ids = append(b.ids, id)
+	}
+	slices.Sort(b.ids)
+}
+
+// target is the time in which the first token is wanted.
+func (b *Brain) target(inf *inference) float64 {
+	per := b.num(fmt.Sprintf("engine_facts.target_per_1000_tokens.%d", inf.Route), 0)
+	return b.num(b.route(inf, "first_token_target"), 1e9) + per*inf.Prompt/1000
+}
+
+func (b *Brain) hear(text string) {
+	var session, reader, writer string
+	var tokens float64
+	_, err := fmt.Sscanf(text, "kept %q %q %q %f", &session, &reader, &writer, &tokens)
+	if err != nil || b.engines[reader] == nil {
+		return // of another version, or of an engine that this node does not know
+	}
+	b.pairs[session] = pair{reader, writer, b.now}
+	b.kept[keptKey{true, session, reader}] = kept{tokens, b.now}
+}
+
+// learnReport keeps an engine's load as it counts all nodes' sends: thousands of tokens to read, else inferences.
+func (b *Brain) learnReport(e *engine, report map[string]float64) {
+	if e == nil || len(report) == 0 {
+		return
+	}
+	e.memory, e.reportAt = report["memory_share"], b.now
+	if lag, ok := report["recent_lag_ms"]; ok {
+		e.samples = last(e.samples, sample{b.now, int64(lag * float64(time.Millisecond))}, 64)
+	}
+	e.waits = report["open"]
+	if w, ok := report["waiting_thousand_tokens"]; ok {
+		e.waits = w
+	}
+}
+
+// those are the inferences that fit, in order of their ids.
+func (b *Brain) those(fit func(*inference) bool) []*inference {
+	var row []*inference
+	for _, inf := range b.infs {
+		if fit(inf) {
+			row = append(row, inf)
+		}
+	}
+	slices.SortFunc(row, func(x, y *inference) int { return cmp.Compare(x.Inf, y.Inf) })
+	return row
+}
+
+// valueShare is a route's value over that of the highest.
+func (b *Brain) valueShare(inf *inference) float64 {
+	most := 1e-9
+	for i := range int(b.num("routes.count", 0)) {
+		most = max(most, b.num(fmt.Sprintf("routes.%d.value", i), 1))
+	}
+	return b.num(b.route(inf, "value"), 1) / most
+}
+
+// heldFor is how long the states that wait here for a writer have waited.
+func (b *Brain) heldFor() (waits []int64) {
+	for _, inf := range b.infs {
+		if inf.state == held {
+			waits = append(waits, b.now-inf.freeAt)
+		}
+	}
+	return waits
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -15,8 +15,8 @@
 	turn     int // round robin
 	started  bool
 	firstAt  int64    // when it started
-	expects  []sample // how far over a quarter of the target the last arrivals' expected waits were
 	prefixes []string // shared beginnings of the last arrivals
+	paces    []int64  // of the last reads: lag for each unit of reported load, the read itself one
 	firsts   []sample // how far over the target the last first tokens came
 
 	kept  map[keptKey]kept
@@ -77,6 +77,7 @@
 	neverRan bool
 	kept     bool // a read that ended with a state
 	began    bool
+	waits    float64 // reported load of its engine when it was sent, itself counted; 0 if unknown
 
 	overtaken int // how many later sends the engine has answered
 	withdrawn bool
@@ -130,3 +131,42 @@
 	}
 	return row
 }
+
+// States and inputs of an inference.
+const (
+	taken     state = iota // nothing is out, no state is held
+	asking                 // it waits for what engines say of their load
+	reading                // a reader's send is out
+	held                   // the state waits at the reader, nothing is out
+	writing                // a writer's send is out
+	streaming              // the client gets the answer
+	ended                  // answered, or nobody waits
+)
+
+const (
+	nothing    input = iota
+	arrive           // the node has taken it
+	told             // what engines were asked is known, or they are silent
+	wake             // a wait is over
+	timeUp           // the client is about to give up
+	clientGone       // the client has given up
+	readDone         // the state waits at the reader
+	readLost         // a reader's send ended without a state
+	notWritten       // a writer surely never ran it, the state is kept
+	stateGone        // a writer surely never ran it, the state is gone
+	mayHaveRun       // a writer's send ended and it may have run
+	firstToken       // the stream began
+	over             // the final answer is with the client, or the stream broke
+	chosen           // a reader is chosen
+	noReader         // no reader may be sent to now
+	noWriter         // no writer may be sent to now
+	spent            // no further send is allowed
+	admitted         // it can be in time
+	hopeless         // it cannot be in time
+	overtaken        // its engine has answered what was sent later
+)
+
+var (
+	open = []state{taken, asking, reading, held, writing}
+	all  = append(open[:len(open):len(open)], streaming, ended)
+)
