--- a/brain/brain.go
+++ b/brain/brain.go
@@ -214,16 +214,12 @@
 	// States that wait here for a writer tell more than any lag.
 	expected := float64(b.now - inf.at + median(b.heldFor()) + lag + median(lags))
 	// Lags are late news and swing, so the line lies under the target: at 0.8 of it for the route of highest
-	// value, nearer to 0.4 the less a route is worth. What came late of late, within 4 s, tells what lags do not;
-	// in a lasting jam, what must be read in full feeds the jam.
-	late := 0.0
-	for _, s := range b.firsts {
-		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
-			late++
-		}
-	}
+	// value, nearer to 0.4 the less a route is worth. What came late of late tells what lags do not, and in a
+	// lasting jam, of first tokens or of lags, what must be read in full feeds the jam.
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
-	if expected > (0.4+0.4*value)*b.target(inf)*(1-late/32*(0.4+0.6*unread)) {
+	b.expects = last(b.expects, sample{b.now, int64(expected - 0.25*b.target(inf))}, 48)
+	line := (0.4 + 0.4*value) * (1 - b.over(b.firsts)*(0.4+0.6*unread)) * (1 - 0.6*b.over(b.expects)*unread)
+	if expected > line*b.target(inf) {
 		return hopeless
 	}
 	return admitted
@@ -240,7 +236,7 @@
 		}
 	}
 	if !seen && e.reader && b.now-e.reportAt < freshFor {
-		seen, least = true, int64(float64(median(b.paces))*(1+e.waits))
+		seen, least = true, int64(float64(quartile(b.paces))*(1+e.waits))
 	}
 	if !seen {
 		least = 0
@@ -322,7 +318,7 @@
 		for _, p := range b.prefixes {
 			seen += 1 - differ(p, inf.Prefix)
 		}
-		n := max(2, int(math.Ceil(2*float64(seen*len(ready))/float64(len(b.prefixes)))))
+		n := max(2, int(math.Ceil(1.5*float64(seen*len(ready))/float64(len(b.prefixes)))))
 		homes = byHash(inf.Prefix, homes)[:min(n, len(homes))]
 	}
 	homes = byHash(inf.Session, homes)
--- a/brain/help.go
+++ b/brain/help.go
@@ -260,3 +260,22 @@
 	}
 	return waits
 }
+
+// quartile is the lower one, 0 of none.
+func quartile(row []int64) int64 {
+	if len(row) == 0 {
+		return 0
+	}
+	return slices.Sorted(slices.Values(row))[len(row)/4]
+}
+
+// over is how many of the last arrivals, or first tokens, were over their line, within 4 s.
+func (b *Brain) over(row []sample) float64 {
+	n := 0.0
+	for _, s := range row {
+		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
+			n++
+		}
+	}
+	return n / max(32, float64(len(row)))
+}
