Late reads dropped in jams again; turns kept; a waiting state goes to a full writer again

Cause: hasRoom asked whether the inference was held after its state had moved on, so that a state never went to a full writer and was shed.

--- a/brain/api.go
+++ b/brain/api.go
@@ -190,6 +190,7 @@
 	case Arrival:
 		b.infs[in.Inf] = &inference{Arrival: in, at: b.now}
 		b.arm(b.infs[in.Inf], timeUp, max(0, in.GiveUpAt-b.now-b.margin()))
+		b.arm(b.infs[in.Inf], tooLate, int64(b.target(b.infs[in.Inf])))
 		b.drive(b.infs[in.Inf], arrive)
 	case FirstToken:
 		if inf := b.infs[in.Inf]; inf != nil && in.Send >= 0 && in.Send < len(inf.sends) {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 	{is(writing), in(noWriter), held, (*Brain).wait},
 	{is(writing), in(stateGone), taken, (*Brain).chooseReader},
 	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
+	{is(reading), in(tooLate), reading, (*Brain).dropLate},
 	{is(reading), in(overtaken), reading, (*Brain).withdraw},
 	{is(writing), in(overtaken), writing, (*Brain).withdraw},
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
@@ -225,6 +226,15 @@
 	return admitted
 }
 
+// dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
+// takes the place of one that could be in time.
+func (b *Brain) dropLate(inf *inference) input {
+	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.over(b.firsts) > 0.2 {
+		return hopeless
+	}
+	return nothing
+}
+
 // lag is how long all sends wait at an engine now, and whether that is known: the least seen of late, as heavy
 // sends need long anywhere, or what its report makes of it, or what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) (int64, bool) {
@@ -564,7 +574,7 @@
 	if b.fresh(e) {
 		used = e.memory*memory + l.unseen
 	}
-	waited := inf.state == held && float64(b.now-inf.freeAt) > 0.75*b.num("engine_facts.pin", 0)
+	waited := inf.freeAt > 0 && float64(b.now-inf.freeAt) > 0.75*b.num("engine_facts.pin", 0)
 	return memory == 0 || waited || used == 0 || used+inf.Prompt < 1.05*memory
 }
 
--- a/brain/help.go
+++ b/brain/help.go
@@ -30,7 +30,7 @@
 	return found
 }
 
-// roundRobin takes turns, in an order of this instance's own, among those that tie for the least.
+// roundRobin takes turns, from a place of this node's own, among those that tie for the least.
 func (b *Brain) roundRobin(row []*engine, order func(x, y *engine) int) *engine {
 	least := slices.MinFunc(row, order)
 	var tied []*engine
@@ -39,7 +39,11 @@
 			tied = append(tied, e)
 		}
 	}
-	return tied[int(b.chance()*float64(len(tied)))]
+	if b.turn == 0 {
+		b.turn = int(b.chance() * 1e6) // nodes that start together must not go the same round
+	}
+	b.turn++
+	return tied[b.turn%len(tied)]
 }
 
 // hash mixes the sum once more: texts that differ only in their last letters share its upper bits.
--- a/brain/state.go
+++ b/brain/state.go
@@ -165,6 +165,7 @@
 	admitted         // it can be in time
 	hopeless         // it cannot be in time
 	overtaken        // its engine has answered what was sent later
+	tooLate          // its target has passed before it was read
 )
 
 var (
