--- a/brain/brain.go
+++ b/brain/brain.go
@@ -462,7 +462,7 @@
 func (b *Brain) ask(inf *inference, engines []*engine) input {
 	inf.asked = inf.asked[:0]
 	for _, e := range engines {
-		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) {
+		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) && !slices.Contains(inf.asked, e.Engine) {
 			if e.askedAt <= e.heardAt {
 				e.askedAt = b.now
 				b.effects = append(b.effects, Probe{e.Engine})
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -224,10 +224,11 @@
 	for inf := int64(1); inf <= 2; inf++ {
 		n.serve(inf, fmt.Sprint("s", inf))
 	}
+	reader := n.arrive(3, 0, "s3")
 	for _, w := range []string{"w0", "w1"} {
 		n.b.engines[w].memory, n.b.engines[w].reportAt = 9, n.now+1000*ms
 	}
-	if w := n.read(20, 3, n.arrive(3, 0, "s3")); w != "" {
+	if w := n.read(20, 3, reader); w != "" {
 		t.Fatalf("sent to %s, which is reported full", w)
 	}
 	token := n.b.token
@@ -274,3 +275,43 @@
 		t.Fatalf("one reader bears the shared beginning alone: %v", used)
 	}
 }
+
+// First scores at a hundred nodes: jams at one home while others idle.
+func TestCrowdedHomeIsPassedOver(t *testing.T) {
+	n := newNode(t, map[string]any{"limits.probes": true})
+	home, _ := newNode(t, nil).serve(1, "s")
+	n.step(0, Arrival{Inf: 1, Session: "s", Prefix: "p", Prompt: 2000, PrefixTokens: 1500, GiveUpAt: n.now + 4000*ms})
+	var asked []string
+	for _, e := range n.got {
+		if p, ok := e.(Probe); ok {
+			asked = append(asked, p.Engine)
+		}
+	}
+	n.b.paces = []int64{100 * ms}
+	to := ""
+	for _, id := range asked {
+		load := map[string]float64{"waiting_thousand_tokens": 1}
+		if id == home {
+			load["waiting_thousand_tokens"] = 50
+		}
+		to = n.step(1, ProbeResult{Engine: id, Verdict: Completed, Report: load})
+	}
+	if len(asked) < 3 || to == "" || to == home {
+		t.Fatalf("asked %v and sent to %q, its home being %s", asked, to, home)
+	}
+}
+
+// Incident i64730d: states that leave their cell crowd its link, and a full writer near is worse.
+func TestWriterIsNearUnlessKnownToBeFull(t *testing.T) {
+	for _, share := range []float64{0.2, 0.95} {
+		n := newNode(t, nil)
+		n.step(0, EngineNews{Engines: []EngineEntry{{Engine: "w1", Weight: 1, Kind: 1, Cell: 1, Ready: true}}})
+		reader := n.arrive(1, 0, "s")
+		for id, memory := range map[string]float64{"w0": share, "w1": 0.1} {
+			n.b.learnReport(n.b.engines[id], map[string]float64{"memory_share": memory})
+		}
+		if w := n.read(20, 1, reader); (w == "w0") != (share < 0.5) {
+			t.Fatalf("sent to %s with the near writer's memory held to %.2f", w, share)
+		}
+	}
+}
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -44,7 +44,7 @@
 	engines map[string]EngineEntry
 	timers  map[int64][]int64 // due time to tokens
 	toCold  map[string][]int64
-	done    map[string][]int64 // when engines did well
+	sent    map[string][]int64
 }
 
 func newWorld(t *rapid.T) *world {
@@ -64,7 +64,7 @@
 		facts[fmt.Sprintf("routes.%d.value", i)] = float64(i + 1)
 	}
 	w := &world{t: t, b: New(7, facts), facts: facts, now: 1e12, infs: map[int64]*account{},
-		engines: map[string]EngineEntry{}, timers: map[int64][]int64{}, toCold: map[string][]int64{}, done: map[string][]int64{}}
+		engines: map[string]EngineEntry{}, timers: map[int64][]int64{}, toCold: map[string][]int64{}, sent: map[string][]int64{}}
 	w.list()
 	return w
 }
@@ -117,27 +117,32 @@
 		}
 	}
 	if eng.UpSince > 0 && w.now-eng.UpSince < 10e9 {
-		// A window holds 0.25 x 3 x 1 s of what an engine can do. What the busiest engine did in 4 s stands for
-		// what it can; one more is the lot of one of the three nodes.
-		recent, most := 0, 0
+		// A window holds 0.25 x 3 x 1 s of what an engine can do, which is what one was sent on average at least.
+		// One more is the lot of one of the three nodes.
+		recent, sent, like := 0, 0.0, 0.0
 		for _, at := range w.toCold[e.Engine] {
 			if w.now-at < 1e9 {
 				recent++
 			}
 		}
-		for _, done := range w.done {
-			n := 0
-			for _, at := range done {
-				if w.now-at < 4e9 {
-					n++
+		for id, other := range w.engines {
+			if other.Kind == eng.Kind {
+				if other.Ready {
+					like++
+				}
+				for _, at := range w.sent[id] {
+					if w.now-at < 20e9 {
+						sent++
+					}
 				}
 			}
-			most = max(most, n)
 		}
-		if w.toCold[e.Engine] = append(w.toCold[e.Engine], w.now); recent > int(0.75*float64(most)/4) {
+		budget := 0.75 * sent / max(1, like) * 1e9 / float64(min(20e9, max(1e9, w.now-1e12)))
+		if w.toCold[e.Engine] = append(w.toCold[e.Engine], w.now); recent > int(budget) {
 			w.fail("4", "%s is cold and got %d sends within a window", e.Engine, recent+1)
 		}
 	}
+	w.sent[e.Engine] = append(w.sent[e.Engine], w.now)
 	a.out = append(a.out, len(a.engine))
 	a.engine, a.sentAt = append(a.engine, e.Engine), append(a.sentAt, w.now)
 	a.writes = append(a.writes, eng.Kind != 0)
@@ -223,7 +228,6 @@
 		verdicts, o.Ended = []Verdict{Completed, Completed, ConnectionLost}, true
 	case a.writes[n] && !a.ended && rapid.Bool().Draw(w.t, "first"):
 		a.streams, a.held = true, false
-		w.done[a.engine[n]] = append(w.done[a.engine[n]], w.now)
 		w.step(FirstToken{Inf: a.Inf, Send: n, Engine: a.engine[n], Lag: o.Lag})
 		return
 	case !a.writes[n]:
@@ -237,7 +241,6 @@
 			o.Note, a.held = 1, false
 		}
 	case ReadDone:
-		w.done[a.engine[n]] = append(w.done[a.engine[n]], w.now)
 		a.held, o.Note = true, rapid.SampledFrom([]float64{0, 1500}).Draw(w.t, "kept")
 	case EngineError, TimedOut, ConnectionLost, Withdrawn:
 		a.ran[n] = a.writes[n]
@@ -310,3 +313,60 @@
 		}
 	})
 }
+
+// All nodes together, from few to hundreds, by the test's own account of their sends.
+func TestColdBudgetIsSharedByAllNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes, readers := rapid.IntRange(2, 300).Draw(t, "nodes"), rapid.IntRange(3, 12).Draw(t, "readers")
+		facts := newWorld(t).facts
+		facts["nodes"], facts["limits.probes"] = float64(nodes), rapid.Bool().Draw(t, "probes")
+		list := EngineNews{Whole: true, Engines: []EngineEntry{{Engine: "w", Weight: 1, Kind: 1, Ready: true}}}
+		for i := range readers {
+			list.Engines = append(list.Engines, EngineEntry{Engine: fmt.Sprint("r", i), Weight: 1, Ready: true})
+		}
+		brains, now := make([]*Brain, nodes), int64(1e12)
+		for i := range brains {
+			own := map[string]any{"me": float64(i)}
+			for name, v := range facts {
+				own[name] = v
+			}
+			brains[i] = New(uint64(i), own)
+			brains[i].Step(now, list)
+		}
+		cold, toCold := max(1, readers/3), map[string][]int64{}
+		for inf := int64(1); now < 1e12+24e9; inf++ {
+			now += int64(1e9 / (6 * readers)) // six a second for each reader
+			if back := int64(1e12 + 20e9); now >= back && now < back+int64(1e9/(6*readers)) {
+				for i := range cold {
+					list.Engines[1+i].UpSince = now
+				}
+				for _, b := range brains {
+					b.Step(now, list)
+				}
+			}
+			b := brains[hash(fmt.Sprint(inf))%uint64(nodes)]
+			in := Input(Arrival{Inf: inf, Session: fmt.Sprint(inf), Prompt: 2000, GiveUpAt: now + 4000*ms})
+			for _, effect := range b.Step(now, in) {
+				if s, ok := effect.(Send); ok {
+					toCold[s.Engine] = append(toCold[s.Engine], now)
+					b.Step(now, Outcome{Inf: inf, Engine: s.Engine, Verdict: ReadDone})
+				}
+			}
+			b.Step(now, ClientGone{inf})
+		}
+		for i := range cold {
+			row := toCold[fmt.Sprint("r", i)]
+			for j, at := range row {
+				n := 0
+				for _, other := range row[j:] {
+					if at > 1e12+20e9 && other-at < 1e9 {
+						n++
+					}
+				}
+				if n > 5 { // 0.25 x 3 x the 6 a second that one reader gets, and one for chance
+					t.Fatalf("rule 4: r%d is cold and got %d sends of %d nodes within a window", i, n, nodes)
+				}
+			}
+		}
+	})
+}
