--- a/brain/brain.go
+++ b/brain/brain.go
@@ -531,15 +531,19 @@
 		return nil
 	}
 	from := b.engines[inf.reader]
-	full := func(e *engine) float64 { return math.Round(10 * max(roomy, e.memory)) }
 	if slices.ContainsFunc(tied, b.fresh) {
 		tied = slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
-	} else {
-		full = func(*engine) float64 { return 0 }
 	}
-	return b.roundRobin(tied, func(x, y *engine) int {
-		return cmp.Or(cmp.Compare(full(x), full(y)), far(from, x)-far(from, y))
-	})
+	// Leaving the cell is worth a tenth of a writer's memory, leaving the zone, where a state takes several times as
+	// long and holds up others on the link, four; within a tenth, reports are noise.
+	cost := func(e *engine) float64 {
+		away := [...]float64{0, 1, 4}[far(from, e)]
+		if b.fresh(e) {
+			return away + math.Round(10*max(roomy, e.memory))
+		}
+		return away
+	}
+	return b.roundRobin(tied, func(x, y *engine) int { return cmp.Compare(cost(x), cost(y)) })
 }
 
 // fewestStreams are the writers that tie: the session's alone if it is valid, else those with fewest own streams.
--- a/brain/help.go
+++ b/brain/help.go
@@ -59,7 +59,7 @@
 func byHash(key string, row []*engine) []*engine {
 	sums := map[*engine]uint64{}
 	for _, e := range row {
-		sums[e] = hash(e.Engine + key)
+		sums[e] = hash(key + e.Engine)
 	}
 	slices.SortFunc(row, func(x, y *engine) int { return cmp.Compare(sums[x], sums[y]) })
 	return row
