--- a/brain/brain.go
+++ b/brain/brain.go
@@ -190,7 +190,7 @@
 
 // admit sheds at once what would not be in time: queues that only grow leave everybody late and never clear,
 // whatever filled them: too much traffic, engines lost, slow or forgetful. It harms where lags are high but
-// harmless. Streams that return after a break have begun already and are always taken.
+// harmless. Streams that return after a break are always taken.
 func (b *Brain) admit(inf *inference) input {
 	loads := b.loads()
 	reader := b.engines[inf.reader]
@@ -207,7 +207,7 @@
 			least = min(least, e.memory)
 		}
 	}
-	// Where all writers heard of are out of memory, states queue, or are read anew: those of least value go first.
+	// Where all writers heard of are out of memory, states queue: those of least value go first.
 	if !math.IsInf(least, 1) && least > 0.9+0.1*value {
 		return hopeless
 	}
@@ -235,7 +235,7 @@
 	return nothing
 }
 
-// lag is how long all sends wait at an engine now, and whether that is known: the least seen of late, as heavy
+// lag is how long sends wait at an engine now, and whether that is known: the least seen of late, as heavy
 // sends need long anywhere, or what its report makes of it, or what is out where that has waited longer.
 func (b *Brain) lag(e *engine, l load) (int64, bool) {
 	seen, least := false, int64(math.MaxInt64)
@@ -303,7 +303,8 @@
 	}
 	some := func(e *engine) bool { return overlap(e) > 0 }
 	most := func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), least(x, y)) }
-	if e := best(byHash(inf.Session, ready), func(e *engine) bool { return under(e) && some(e) }, most); e != nil {
+	both := func(e *engine) bool { return under(e) && some(e) }
+	if e := best(byHash(inf.Session, ready), both, most); e != nil {
 		return e
 	}
 	if !slices.ContainsFunc(ready, some) {
@@ -314,9 +315,9 @@
 	return cmp.Or(best(ready, under, least), best(ready, some, least), b.roundRobin(ready, least))
 }
 
-// homes are the two first readers, the same at all nodes, that a session hashes to among those that keep its shared
-// beginning: two, as each copy takes memory that sessions need, or so many that none reads more than half of a
-// reader's fair share for it. There are none where the session is known here or others tell.
+// homes are the two first readers, the same at all nodes, that a session hashes to among those that keep its
+// shared beginning: two, as copies take memory that sessions need, or so many that none reads more than two
+// thirds of a reader's fair share for it. There are none where the session is known here or others tell.
 func (b *Brain) homes(inf *inference, ready []*engine) []*engine {
 	known := func(e *engine) bool { return b.kept[keptKey{true, inf.Session, e.Engine}].tokens > 0 }
 	if b.num("nodes", 1) < 2 || b.tells() || slices.ContainsFunc(ready, known) {
@@ -335,20 +336,14 @@
 	return homes[:min(2, len(homes))]
 }
 
-// calm is whether an engine answers and what it reports makes a wait that is short against the target, as a read
-// in full elsewhere takes longer, or under the cap, over the readers heard of in 10 s.
+// calm is whether an engine answers, and its reported load makes a wait shorter than a full read elsewhere,
+// or is under the cap over the readers heard of in 10 s.
 func (b *Brain) calm(inf *inference, e *engine) bool {
 	if e.askedAt > e.heardAt || e.silentAt > max(e.reportAt, b.now-int64(5*time.Second)) {
 		return false
 	}
-	sum, n := 0.0, 0.0
-	for _, id := range b.ids {
-		if o := b.engines[id]; o.reader && o.reportAt > b.now-int64(10*time.Second) {
-			sum, n = sum+o.waits, n+1
-		}
-	}
 	lag, _ := b.lag(e, load{})
-	return float64(lag) < b.target(inf)/4 || e.waits <= (1+margin)*sum/max(1, n)
+	return float64(lag) < b.target(inf)/4 || e.waits <= (1+margin)*b.meanWaits(10*time.Second)
 }
 
 // pairOf is where the session was served last, if that is not too long ago.
@@ -405,8 +400,8 @@
 	}
 }
 
-// tells is whether other nodes are told where a session's text is kept: where messages are allowed and a word to
-// all of them costs no more than 0.005 of the value, about what a text found again saves.
+// tells is whether other nodes are told where a session's text is kept: where that is allowed, and a word to
+// all costs no more than 0.005 of the value, about what a text found again saves.
 func (b *Brain) tells() bool {
 	others := b.num("nodes", 1) - 1
 	return b.flag("limits.peers") && others > 0 && b.num("prices.peer", 0)*others*100/256 < 0.005
@@ -423,14 +418,13 @@
 
 // ---- asking
 
-// freshFor is how long news of an engine stands: queues turn over, and engines renew reports, in about that time.
+// freshFor is how long news of an engine stands: queues turn over, and reports are renewed, in that time.
 const freshFor = int64(700 * time.Millisecond)
 
 // fresh is whether an engine's load is known; a cold one that has a place has hardly any.
 func (b *Brain) fresh(e *engine) bool { return b.now-e.reportAt < freshFor || b.cold(e) }
 
-// askEngines asks the homes and some writers for their load, as a node that sees little of the traffic cannot
-// know it.
+// askEngines asks homes and some writers for their load, which a node among many cannot know.
 func (b *Brain) askEngines(inf *inference) input {
 	b.prefixes = last(b.prefixes, inf.Prefix, 64)
 	homes := b.homes(inf, b.usable(inf, b.loads(), func(e *engine) bool { return e.reader }))
@@ -442,8 +436,8 @@
 
 func (b *Brain) askWriters(inf *inference) input { return b.ask(inf, b.someWriters(inf)) }
 
-// someWriters are two of those that tie for fewest own streams and are nearest to the reader, and one from farther
-// off in case these are full; none if news at hand will do.
+// someWriters are two of those that tie for fewest own streams and are nearest to the reader, and one from
+// farther off in case these are full; none if news at hand will do.
 func (b *Brain) someWriters(inf *inference) []*engine {
 	tied, from, mix := b.fewestStreams(inf), b.engines[inf.reader], map[*engine]float64{}
 	for _, e := range tied {
@@ -451,18 +445,20 @@
 	}
 	slices.SortFunc(tied, func(x, y *engine) int { return cmp.Compare(mix[x], mix[y]) })
 	nearest := func(e *engine) bool { return far(from, e) == far(from, tied[0]) }
-	if len(tied) < 2 || slices.ContainsFunc(tied, func(e *engine) bool { return nearest(e) && b.fresh(e) && e.memory < roomy }) {
+	will := func(e *engine) bool { return nearest(e) && b.fresh(e) && e.memory < roomy }
+	if len(tied) < 2 || slices.ContainsFunc(tied, will) {
 		return nil
 	}
 	other := slices.IndexFunc(tied, func(e *engine) bool { return !nearest(e) })
 	return append(tied[:2:2], tied[max(1, other)])
 }
 
-// ask probes those of whom nothing was heard of late; probes to cold engines would count against their budget.
+// ask probes those of whom nothing was heard of late; a probe to a cold engine would count as work.
 func (b *Brain) ask(inf *inference, engines []*engine) input {
 	inf.asked = inf.asked[:0]
 	for _, e := range engines {
-		if b.flag("limits.probes") && b.now-e.heardAt >= freshFor && !b.fresh(e) && !slices.Contains(inf.asked, e.Engine) {
+		unknown := b.now-e.heardAt >= freshFor && !b.fresh(e)
+		if b.flag("limits.probes") && unknown && !slices.Contains(inf.asked, e.Engine) {
 			if e.askedAt <= e.heardAt {
 				e.askedAt = b.now
 				b.effects = append(b.effects, Probe{e.Engine})
@@ -490,13 +486,7 @@
 	} else {
 		e.silentAt = b.now
 	}
-	for _, inf := range b.those(func(inf *inference) bool {
-		i := slices.Index(inf.asked, p.Engine)
-		if i >= 0 {
-			inf.asked = slices.Delete(inf.asked, i, i+1)
-		}
-		return i >= 0 && len(inf.asked) == 0
-	}) {
+	for _, inf := range b.those(func(inf *inference) bool { return inf.answered(p.Engine) }) {
 		b.drive(inf, told)
 		b.forget(inf)
 	}
@@ -520,11 +510,11 @@
 	return b.gate(inf, e)
 }
 
-// roomy is the share of its memory up to which a writer counts as empty: above it the next heavy prompt may wait.
+// roomy is the share of its memory up to which a writer counts as empty; 0.85 did far worse among many nodes.
 const roomy = 0.7
 
-// pickWriter takes the session's writer if it is valid, else the one with fewest own streams. Among many nodes
-// nearly all tie, so what is known of a tie's memory comes next; then the reader's cell, then its zone, then chance.
+// pickWriter takes the session's writer if it is valid, else one with fewest own streams. Among many nodes
+// nearly all tie, so what is known of their memory comes next, weighed against the move, then turns.
 func (b *Brain) pickWriter(inf *inference) *engine {
 	tied := b.fewestStreams(inf)
 	if len(tied) == 0 {
@@ -534,19 +524,15 @@
 	if slices.ContainsFunc(tied, b.fresh) {
 		tied = slices.DeleteFunc(tied, func(e *engine) bool { return !b.fresh(e) })
 	}
-	// Leaving the cell is worth a tenth of a writer's memory, leaving the zone, where a state takes several times as
-	// long and holds up others on the link, four; within a tenth, reports are noise.
+	// Leaving the cell is worth a tenth of a writer's memory, leaving the zone, where a state takes several
+	// times as long and holds up others on the link, four; within a tenth, reports are noise.
 	cost := func(e *engine) float64 {
-		away := [...]float64{0, 1, 4}[far(from, e)]
-		if b.fresh(e) {
-			return away + math.Round(10*max(roomy, e.memory))
-		}
-		return away
+		return [...]float64{0, 1, 4}[far(from, e)] + math.Round(10*max(roomy, e.memory))
 	}
 	return b.roundRobin(tied, func(x, y *engine) int { return cmp.Compare(cost(x), cost(y)) })
 }
 
-// fewestStreams are the writers that tie: the session's alone if it is valid, else those with fewest own streams.
+// fewestStreams are the writers that tie: the session's if it is valid, else those with fewest own streams.
 func (b *Brain) fewestStreams(inf *inference) []*engine {
 	loads := b.loads()
 	ready := b.usable(inf, loads, func(e *engine) bool {
@@ -558,20 +544,18 @@
 			return ready[i : i+1]
 		}
 	}
-	least := math.MaxInt
-	for _, e := range ready {
-		least = min(least, loads[e.Engine].streams)
-	}
-	return slices.DeleteFunc(ready, func(e *engine) bool { return loads[e.Engine].streams > least })
+	streams := func(e *engine) int { return loads[e.Engine].streams }
+	all := func(*engine) bool { return true }
+	fewest := best(ready, all, func(x, y *engine) int { return streams(x) - streams(y) })
+	return slices.DeleteFunc(ready, func(e *engine) bool { return streams(e) > streams(fewest) })
 }
 
 // Reports travel and are refreshed for about half a second; what was sent since then is not in them.
 const reportDelay = int64(500 * time.Millisecond)
 
 // hasRoom keeps a writer from running out of memory, which throws its newest answers back to be read anew. It
-// goes by a fresh report and what was sent since; else, as when a slow writer seldom answers, by
-// this node's own part, as if all nodes sent alike. A wrong guess, or a report that lies, costs a wait of
-// three quarters of the pin limit, never the inference. 1.05: reports are noisy.
+// goes by a fresh report and what was sent since, else by this node's own part, as if all nodes sent alike. A
+// wrong guess costs a wait of three quarters of the pin limit. 1.05: reports are noisy.
 func (b *Brain) hasRoom(inf *inference, e *engine, l load) bool {
 	memory := b.num(fmt.Sprintf("engine_facts.memory_of_kind.%d", e.Kind), 0)
 	used := l.tokens * b.num("nodes", 1)
@@ -596,9 +580,8 @@
 			}
 		}
 	}
-	usual := median(lags)
 	for _, e := range fit {
-		if b.healthy(inf, e, loads[e.Engine], usual) {
+		if b.healthy(inf, e, loads[e.Engine], median(lags)) {
 			well = append(well, e)
 		}
 	}
@@ -616,20 +599,13 @@
 	if lag, _ := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
 		return false
 	}
-	n := 0
-	for _, at := range e.strikes {
-		if b.now-at < int64(time.Minute) {
-			n++
-		}
-	}
+	n := int(b.since(e.strikes, int64(time.Minute)))
 	if n > 0 && b.now-e.strikes[len(e.strikes)-1] < int64(2*time.Second)<<min(n-1, 3) {
 		return false
 	}
-	if e.trial {
-		return l.reads+l.streams == 0
-	}
 	// What has come back from there once tries another first.
-	return !slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && !s.kept })
+	back := func(s send) bool { return s.engine == e.Engine && !s.kept }
+	return (!e.trial || l.reads+l.streams == 0) && !slices.ContainsFunc(inf.sends, back)
 }
 
 // strike notes trouble with an engine.
@@ -706,27 +682,18 @@
 	return e.coldFrom != 0 && b.now-e.coldFrom <= int64(b.num("rules.cold", 0))
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the engines of that
-// role of late, each on average, is what one can do at least, so the cold share of it is this node's part of the
-// budget. Whole places are its own; for the rest it draws lots with all nodes, the same at each, so that no more
-// win than there are places.
+// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the engines of
+// that role of late, each on average, is what one can do at least; the cold share of it is this node's part of
+// the budget. Whole places are its own; for the rest all nodes draw the same lots, as many winners as places.
 func (b *Brain) coldRoom(e *engine) bool {
 	if !b.cold(e) {
 		return true
 	}
 	const span = int64(20 * time.Second) // a node among many sends little; and all of a role may be cold at once
-	since := func(row []int64, span int64) (n float64) {
-		for _, at := range row {
-			if b.now-at < span {
-				n++
-			}
-		}
-		return n
-	}
-	window, sent, like := int64(b.num("rules.fall_window", 1e9)), 0.0, 0.0
+	window, sent, like := max(4, int64(b.num("rules.fall_window", 1e9))), 0.0, 0.0
 	for _, o := range b.engines {
 		if o.reader == e.reader && o.writer == e.writer {
-			sent += since(o.sent, span)
+			sent += b.since(o.sent, span)
 			if o.Ready {
 				like++
 			}
@@ -735,13 +702,13 @@
 	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * sent / max(1, like) *
 		float64(window) / float64(min(span, max(window, b.now-b.firstAt)))
 	// Any window touches five quarters at most, so each quarter gives out a fifth.
-	nodes, whole, rest := max(1, b.num("nodes", 1)), 0.0, 0.0
-	whole, rest = math.Modf(places)
+	nodes := max(1, b.num("nodes", 1))
+	whole, rest := math.Modf(places)
 	first := float64(hash(fmt.Sprint(e.Engine, 4*b.now/window))%1e6) / 1e6 * nodes
-	if math.Mod(b.num("me", 0)+first, nodes) < rest*nodes/5 && since(e.sent, window/4) == 0 {
+	if math.Mod(b.num("me", 0)+first, nodes) < rest*nodes/5 && b.since(e.sent, window/4) == 0 {
 		whole++
 	}
-	return since(e.sent, window) < whole
+	return b.since(e.sent, window) < whole
 }
 
 func (b *Brain) learnEngines(news EngineNews) {
--- a/brain/help.go
+++ b/brain/help.go
@@ -283,3 +283,23 @@
 	}
 	return n / max(32, float64(len(row)))
 }
+
+// meanWaits is the mean reported load of the readers that reported within a span.
+func (b *Brain) meanWaits(span time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, id := range b.ids {
+		if e := b.engines[id]; e.reader && b.now-e.reportAt < int64(span) {
+			sum, n = sum+e.waits, n+1
+		}
+	}
+	return sum / max(1, n)
+}
+
+// answered takes an engine off those that were asked, and says whether it was the last.
+func (inf *inference) answered(engine string) bool {
+	i := slices.Index(inf.asked, engine)
+	if i >= 0 {
+		inf.asked = slices.Delete(inf.asked, i, i+1)
+	}
+	return i >= 0 && len(inf.asked) == 0
+}
