--- a/brain/brain.go
+++ b/brain/brain.go
@@ -683,7 +683,7 @@
 }
 
 // coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the engines of
-// that role of late, each on average, is what one can do at least; the cold share of it is this node's part of
+// that role of late, each on average, is what one can do at least; its cold share is this node's part of
 // the budget. Whole places are its own; for the rest all nodes draw the same lots, as many winners as places.
 func (b *Brain) coldRoom(e *engine) bool {
 	if !b.cold(e) {
