Cold budget by what engines did, those gone counted; what just failed waits a step

The fleet test draws this case and was seen to fail without the change. Harms where most of a role has left for good: the rest warms up slowly.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -260,7 +260,9 @@
 
 func (b *Brain) chooseReader(inf *inference) input {
 	e := b.pickReader(inf, b.loads())
-	if e == nil {
+	// Where nothing else is left, what has just failed there waits a step.
+	hasty := func(s send) bool { return s.engine == e.Engine && b.now-s.at < waitStep }
+	if e == nil || slices.ContainsFunc(inf.sends, hasty) {
 		return noReader
 	}
 	inf.reader = e.Engine
@@ -646,7 +648,7 @@
 	if e == nil {
 		return
 	}
-	e.samples = last(e.samples, sample{b.now, lag}, 64)
+	e.samples, e.did = last(e.samples, sample{b.now, lag}, 64), last(e.did, b.now, 64)
 	// An engine that failed and said nothing good for 3 s, longer than any jam, may have started anew unseen.
 	if e.trial && b.now-e.goodAt > int64(3*time.Second) {
 		e.coldFrom = b.now
@@ -682,24 +684,21 @@
 	return e.coldFrom != 0 && b.now-e.coldFrom <= int64(b.num("rules.cold", 0))
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What this node sent to the engines of
-// that role of late, each on average, is what one can do at least; its cold share is this node's part of
-// the budget. Whole places are its own; for the rest all nodes draw the same lots, as many winners as places.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the engines of that role did for this
+// node of late, each on average, gone ones too, is what one can do at least; its cold share is this node's part
+// of the budget. Whole places are its own; for the rest all nodes draw the same lots, as many winners as places.
 func (b *Brain) coldRoom(e *engine) bool {
 	if !b.cold(e) {
 		return true
 	}
 	const span = int64(20 * time.Second) // a node among many sends little; and all of a role may be cold at once
-	window, sent, like := max(4, int64(b.num("rules.fall_window", 1e9))), 0.0, 0.0
+	window, done, like := max(4, int64(b.num("rules.fall_window", 1e9))), 0.0, 0.0
 	for _, o := range b.engines {
-		if o.reader == e.reader && o.writer == e.writer {
-			sent += b.since(o.sent, span)
-			if o.Ready {
-				like++
-			}
+		if did := b.since(o.did, span); o.reader == e.reader && o.writer == e.writer && (o.Ready || did > 0) {
+			done, like = done+did, like+1
 		}
 	}
-	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * sent / max(1, like) *
+	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * done / max(1, like) *
 		float64(window) / float64(min(span, max(window, b.now-b.firstAt)))
 	// Any window touches five quarters at most, so each quarter gives out a fifth.
 	nodes := max(1, b.num("nodes", 1))
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -333,12 +333,17 @@
 			brains[i] = New(uint64(i), own)
 			brains[i].Step(now, list)
 		}
+		// A third of the readers restarts, or all of them, of which one is back before the others.
 		cold, toCold := max(1, readers/3), map[string][]int64{}
+		if rapid.Bool().Draw(t, "all") {
+			cold = readers
+		}
 		for inf := int64(1); now < 1e12+24e9; inf++ {
 			now += int64(1e9 / (6 * readers)) // six a second for each reader
 			if back := int64(1e12 + 20e9); now >= back && now < back+int64(1e9/(6*readers)) {
 				for i := range cold {
 					list.Engines[1+i].UpSince = now
+					list.Engines[1+i].Ready, list.Engines[1+i].Out = cold < readers || i == 0, cold == readers && i > 0
 				}
 				for _, b := range brains {
 					b.Step(now, list)
--- a/brain/state.go
+++ b/brain/state.go
@@ -29,6 +29,7 @@
 	EngineEntry
 	reader, writer bool
 	sent           []int64  // when the last sends went there
+	did            []int64  // when the last reads or first tokens came from there
 	samples        []sample // the last lags seen
 	strikes        []int64  // when trouble was last seen
 	trial          bool     // struck, and nothing good seen since
