--- a/brain/brain.go
+++ b/brain/brain.go
@@ -684,9 +684,9 @@
 	return e.coldFrom != 0 && b.now-e.coldFrom <= int64(b.num("rules.cold", 0))
 }
 
-// coldRoom keeps all nodes together from pushing a cold engine over. What the engines of that role did for this
-// node of late, each on average, gone ones too, is what one can do at least; its cold share is this node's part
-// of the budget. Whole places are its own; for the rest all nodes draw the same lots, as many winners as places.
+// coldRoom keeps all nodes together from pushing a cold engine over. What the engines of that role did for
+// this node of late, each on average, gone ones too, is what one can do at least; its cold share is this
+// node's part of the budget. Whole places are its own; for the rest all nodes draw the same lots.
 func (b *Brain) coldRoom(e *engine) bool {
 	if !b.cold(e) {
 		return true
@@ -698,7 +698,8 @@
 			done, like = done+did, like+1
 		}
 	}
-	places := b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * done / max(1, like) *
+	// 0.8: nodes do not see alike, and lots fall unevenly.
+	places := 0.8 * b.num("rules.cold_share", 0) * b.num("rules.fall_multiple", 0) * done / max(1, like) *
 		float64(window) / float64(min(span, max(window, b.now-b.firstAt)))
 	// Any window touches five quarters at most, so each quarter gives out a fifth.
 	nodes := max(1, b.num("nodes", 1))
