--- a/brain/brain.go
+++ b/brain/brain.go
@@ -298,10 +298,15 @@
 	// A node that no other tells does not know a session's earlier reader. Then a session unknown here goes to
 	// its home, or its second one where the first is over the cap, also by its report, or silent.
 	homes := b.homes(inf, ready)
-	for _, fits := range []func(*engine) bool{func(e *engine) bool { return b.calm(inf, e) }, under} {
-		if i := slices.IndexFunc(homes, func(e *engine) bool { return under(e) && fits(e) }); i >= 0 {
-			return homes[i]
-		}
+	if i := slices.IndexFunc(homes, func(e *engine) bool { return under(e) && b.calm(inf, e) }); i >= 0 {
+		return homes[i]
+	}
+	// A cold reader that has a place is idle, which a crowded home is not.
+	if i := slices.IndexFunc(ready, b.cold); i >= 0 && len(homes) > 0 {
+		return ready[i]
+	}
+	if i := slices.IndexFunc(homes, under); i >= 0 {
+		return homes[i]
 	}
 	some := func(e *engine) bool { return overlap(e) > 0 }
 	most := func(x, y *engine) int { return cmp.Or(-cmp.Compare(overlap(x), overlap(y)), least(x, y)) }
@@ -345,7 +350,7 @@
 		return false
 	}
 	lag, _ := b.lag(e, load{})
-	return float64(lag) < b.target(inf)/4 || e.waits <= (1+margin)*b.meanWaits(10*time.Second)
+	return float64(lag) < b.target(inf)/2 || e.waits <= (1+margin)*b.meanWaits(10*time.Second)
 }
 
 // pairOf is where the session was served last, if that is not too long ago.
