--- a/brain/brain.go
+++ b/brain/brain.go
@@ -188,6 +188,8 @@
 
 // ---- shedding
 
+const lately, few = 4 * time.Second, 32 // a jam lasts longer, and a few late ones make none
+
 // admit sheds at once what would not be in time: queues that only grow leave everybody late and never clear,
 // whatever filled them: too much traffic, engines lost, slow or forgetful. It harms where lags are high but
 // harmless. Streams that return after a break are always taken.
@@ -219,7 +221,8 @@
 	// lasting jam, of first tokens or of lags, what must be read in full feeds the jam.
 	unread := 1 - b.overlap(inf, reader)/max(inf.Prompt, 1)
 	b.expects = last(b.expects, sample{b.now, int64(expected - 0.25*b.target(inf))}, 48)
-	line := (0.4 + 0.4*value) * (1 - b.over(b.firsts)*(0.4+0.6*unread)) * (1 - 0.6*b.over(b.expects)*unread)
+	late, jam := b.over(b.firsts, lately, few), b.over(b.expects, lately, few)
+	line := (0.4 + 0.4*value) * (1 - late*(0.4+0.6*unread)) * (1 - 0.6*jam*unread)
 	if expected > line*b.target(inf) {
 		return hopeless
 	}
@@ -229,7 +232,7 @@
 // dropLate sheds a read that has not ended by its target, where that may be said with a send out: in a jam it
 // takes the place of one that could be in time.
 func (b *Brain) dropLate(inf *inference) input {
-	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.over(b.firsts) > 0.2 {
+	if b.word(b.route(inf, "effect")) == "retriable" && !inf.Resumed && b.over(b.firsts, lately, few) > 0.2 {
 		return hopeless
 	}
 	return nothing
@@ -423,8 +426,6 @@
 	}
 }
 
-// ---- asking
-
 // freshFor is how long news of an engine stands: queues turn over, and reports are renewed, in that time.
 const freshFor = int64(700 * time.Millisecond)
 
--- a/brain/help.go
+++ b/brain/help.go
@@ -273,15 +273,15 @@
 	return slices.Sorted(slices.Values(row))[len(row)/4]
 }
 
-// over is how many of the last arrivals, or first tokens, were over their line, within 4 s.
-func (b *Brain) over(row []sample) float64 {
+// over is the share of a row within a span that was over its line; a row of few counts as one of that many.
+func (b *Brain) over(row []sample, span time.Duration, few int) float64 {
 	n := 0.0
 	for _, s := range row {
-		if s.at > b.now-int64(4*time.Second) && s.lag > 0 {
+		if s.at > b.now-int64(span) && s.lag > 0 {
 			n++
 		}
 	}
-	return n / max(32, float64(len(row)))
+	return n / float64(max(few, len(row)))
 }
 
 // meanWaits is the mean reported load of the readers that reported within a span.
