--- a/brain/brain.go
+++ b/brain/brain.go
@@ -578,8 +578,7 @@
 
 // usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
 func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
-	var fit, well []*engine
-	var lags []int64
+	fit, well, lags := []*engine{}, []*engine{}, []int64{}
 	for _, id := range b.ids {
 		if e := b.engines[id]; e.Ready && fits(e) && b.coldRoom(e) {
 			fit = append(fit, e)
@@ -588,8 +587,9 @@
 			}
 		}
 	}
+	usual := median(lags)
 	for _, e := range fit {
-		if b.healthy(inf, e, loads[e.Engine], median(lags)) {
+		if b.healthy(inf, e, loads[e.Engine], usual) {
 			well = append(well, e)
 		}
 	}
