prove: states are copied, worlds of several nodes, crowds for the cold budget

Need: two inferences with two faults stayed in part, no world had two nodes, probes or a full node, and the cold budget of all nodes together was not checked at all.

States are copied by their types instead of played again; fleets of nodes share engines, list and time, and events of different nodes are taken in one order. Crowds add up what 3, 30 and 300 nodes send a cold engine. New: P13, P14, a client that comes back after it left, three mutations. A check of the harness took an inference name that ends in 0 for the end of a stream; it asks for the whole chunk now.

--- a/cmd/sandcourse/prove.go
+++ b/cmd/sandcourse/prove.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -45,7 +46,7 @@
 				worlds = append(worlds, w)
 			}
 			if len(args) == 0 {
-				worlds = append(append(worlds, prove.Worlds...), prove.Large...)
+				worlds = slices.Concat(prove.Worlds, prove.Large, prove.Crowds)
 			}
 			end := time.Now().Add(length)
 			until := func() bool { return time.Now().After(end) }
@@ -63,7 +64,7 @@
 					float64(r.States)/time.Since(begun).Seconds())
 				took.Add(r.Took)
 				rows = append(rows, r)
-				if r.Path != nil {
+				if len(r.Broken) > 0 {
 					bad++
 					if err := keep(out, r, c.OutOrStdout()); err != nil {
 						return err
@@ -80,7 +81,10 @@
 				if !r.Complete {
 					verdict = "in part: no break found"
 				}
-				if r.Path != nil {
+				if w := r.World; w.Crowd && r.Complete {
+					verdict = fmt.Sprintf("walked: holds, a cold engine had %d sends in a window at most", r.Cold)
+				}
+				if len(r.Broken) > 0 {
 					verdict = "BROKEN " + strings.Join(r.Broken, "; ")
 				}
 				fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%s\n", r.World.Name, r.States, r.Transitions, r.Merged, r.Ends, r.Depth, verdict)
@@ -137,7 +141,7 @@
 	replay.Flags().BoolVar(&sockets, "sockets", false, "also through a real edge and scripted engines on loopback")
 	c.AddCommand(replay, &cobra.Command{Use: "list", Short: "Name worlds and properties", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) {
-			for _, w := range append(append([]prove.World{}, prove.Worlds...), prove.Large...) {
+			for _, w := range slices.Concat(prove.Worlds, prove.Large, prove.Crowds) {
 				fmt.Fprintf(c.OutOrStdout(), "%-14s %s\n", w.Name, w.About)
 			}
 			for _, p := range prove.Properties {
@@ -148,6 +152,9 @@
 }
 
 func proveWorld(w prove.World, b prove.Bounds, seed uint64, walks int, snapshots string, say io.Writer) (prove.Result, error) {
+	if w.Crowd {
+		return prove.Crowd(w, seed, b.Until), nil
+	}
 	for _, l := range prove.Large {
 		if l.Name == w.Name {
 			return prove.Swarm(w, seed, walks, b.Workers, b.Until), nil
@@ -194,6 +201,9 @@
 
 func keep(dir string, r prove.Result, say io.Writer) error {
 	lines, broken := prove.Story(r.World, r.Path)
+	if r.World.Crowd { // a walk of its own: the seed plays it again
+		lines, broken = nil, r.Broken
+	}
 	fmt.Fprintln(say, strings.Join(lines, "\n"))
 	if dir == "" {
 		return nil
--- a/prove/explore.go
+++ b/prove/explore.go
@@ -20,22 +20,56 @@
 // Path is a row of events by their numbers among those that could happen.
 type Path []uint8
 
+// state is an execution between two events: of one node, or of several.
+type state interface {
+	events() []Event // in an order that hangs on nothing but the state
+	step(e Event)
+	over() bool // nothing can happen any more
+	checkEnd()
+	digest() uint64
+	found() []string // what is broken
+	cover() Cover
+	tellState() []string
+	finals() []string // of the clients
+	clock() time.Duration
+}
+
+func newState(w World, tell bool) state {
+	if w.Nodes > 1 {
+		return newFleet(w)
+	}
+	return newSim(w, tell)
+}
+
 // run plays a path from the start. It stops early, with ok false, where the path does not fit.
-func run(w World, path Path, tell bool) (s *sim, ok bool) {
-	s = newSim(w, tell)
+func run(w World, path Path, tell bool) (s state, ok bool) {
+	s = newState(w, tell)
 	for _, n := range path {
 		row := s.events()
 		if int(n) >= len(row) {
 			return s, false
 		}
 		s.step(row[n])
-		if len(s.broken) > 0 {
+		if len(s.found()) > 0 {
 			break
 		}
 	}
 	return s, true
 }
 
+func (s *sim) found() []string { return s.broken }
+
+func (s *sim) over() bool { return len(s.events()) == 0 }
+
+func (s *sim) clock() time.Duration { return time.Duration(s.now - int64(1000*time.Second)) }
+
+func (s *sim) finals() (row []string) {
+	for _, c := range s.clients {
+		row = append(row, c.final)
+	}
+	return row
+}
+
 func (s *sim) step(e Event) {
 	if e.fault != "" {
 		s.faults++
@@ -51,6 +85,7 @@
 type Bounds struct {
 	Workers, States, Depth int
 	Until                  func() bool // polled between levels and now and then within; true ends it
+	Replay                 bool        // plays each path from the start, which is slow and trusts no copy
 }
 
 // Result is what an exploration found.
@@ -65,6 +100,9 @@
 	Broken      []string `json:"broken,omitempty"`
 	Path        Path     `json:"path,omitempty"`
 	Took        Cover    `json:"-"`
+	// EndsSum tells two sets of ends apart, whatever the way to them.
+	EndsSum uint64 `json:"ends_sum"`
+	Cold    int    `json:"cold"` // the most sends that a cold engine of a crowd had in one window
 }
 
 // Cover is which rows of the tables were taken.
@@ -103,15 +141,16 @@
 	World    World
 	Front    []Path
 	Seen     map[uint64]struct{}
+	Ended    map[uint64]struct{} // digests of ends
 	Result   Result
 	finished bool
 }
 
 // Start is a snapshot before the first level.
 func Start(w World) *Snapshot {
-	s := newSim(w, false)
+	s := newState(w, false)
 	return &Snapshot{World: w, Front: []Path{{}}, Seen: map[uint64]struct{}{s.digest(): {}},
-		Result: Result{World: w, States: 1}}
+		Ended: map[uint64]struct{}{}, Result: Result{World: w, States: 1}}
 }
 
 // child is one state reached from a state of the front.
@@ -124,6 +163,7 @@
 type opened struct {
 	children []child
 	end      bool
+	digest   uint64   // of the end
 	broken   []string // at the end
 	took     Cover
 	done     bool
@@ -135,26 +175,29 @@
 	return c
 }
 
-// open tries every event of one state.
-func open(w World, path Path) (o opened) {
+// open tries every event of one state: the path is played once, and each event goes on from a copy.
+func open(w World, path Path, copies copiers) (o opened) {
 	s, _ := run(w, path, false)
 	n := len(s.events())
 	o.done = true
 	if n == 0 {
-		s.checkEnd()
-		o.end, o.broken = true, s.broken
+		if s.over() { // else another order of the same events goes on
+			s.checkEnd()
+			o.end, o.broken, o.digest = true, s.found(), s.digest()
+		}
 		o.took = s.cover()
 		return o
 	}
-	next := append(slices.Clone(path), 0)
 	for i := range n {
-		if i > 0 { // the first event uses the state at hand
-			s, _ = run(w, path, false)
+		next := s
+		if copies == nil {
+			next, _ = run(w, path, false)
+		} else if i < n-1 { // the last event uses the state itself
+			next = copies.copyOf(s)
 		}
-		next[len(path)] = uint8(i)
-		s.step(s.events()[i])
-		o.children = append(o.children, child{s.digest(), uint8(i), s.broken})
-		o.took.Add(s.cover())
+		next.step(next.events()[i])
+		o.children = append(o.children, child{next.digest(), uint8(i), next.found()})
+		o.took.Add(next.cover())
 	}
 	return o
 }
@@ -174,6 +217,10 @@
 		var all sync.WaitGroup
 		for range max(1, b.Workers) {
 			all.Go(func() {
+				var copies copiers
+				if !b.Replay {
+					copies = copiers{}
+				}
 				for {
 					i := int(next.Add(1)) - 1
 					if i >= len(rows) || stopped.Load() {
@@ -183,7 +230,7 @@
 						stopped.Store(true)
 						return
 					}
-					rows[i] = open(snap.World, snap.Front[i])
+					rows[i] = open(snap.World, snap.Front[i], copies)
 				}
 			})
 		}
@@ -196,7 +243,11 @@
 			path := snap.Front[i]
 			r.Took.Add(o.took)
 			if o.end {
-				r.Ends++
+				if _, ok := snap.Ended[o.digest]; !ok {
+					snap.Ended[o.digest] = struct{}{}
+					r.Ends++
+					r.EndsSum ^= o.digest
+				}
 				if len(o.broken) > 0 && r.Path == nil {
 					r.Broken, r.Path = o.broken, slices.Clone(path)
 				}
@@ -257,13 +308,15 @@
 						mine.Kinds = append(mine.Kinds, kind)
 					}
 				}
-				s := newSim(mine, false)
+				s := newState(mine, false)
 				var path Path
 				for range 2000 {
 					row := s.events()
 					if len(row) == 0 {
-						s.checkEnd()
-						rows[i].end = true
+						if s.over() {
+							s.checkEnd()
+							rows[i].end = true
+						}
 						break
 					}
 					n := rng.IntN(len(row))
@@ -273,13 +326,13 @@
 					}
 					path = append(path, uint8(n))
 					s.step(row[n])
-					if len(s.broken) > 0 {
+					if len(s.found()) > 0 {
 						break
 					}
 				}
 				rows[i].world = mine
-				rows[i].path, rows[i].broken, rows[i].took = path, s.broken, s.cover()
-				if len(s.broken) > 0 {
+				rows[i].path, rows[i].broken, rows[i].took = path, s.found(), s.cover()
+				if len(s.found()) > 0 {
 					rows[i].path = shrink(mine, path)
 				}
 			}
@@ -304,14 +357,14 @@
 // shrink leaves out events that a break does not need.
 func shrink(w World, path Path) Path {
 	want, _ := run(w, path, false)
-	if len(want.broken) == 0 {
+	if len(want.found()) == 0 {
 		return path
 	}
-	name := property(want.broken[0])
+	name := property(want.found()[0])
 	for size := len(path) / 2; size > 0; size /= 2 {
 		for i := 0; i+size <= len(path); {
 			shorter := slices.Delete(slices.Clone(path), i, i+size)
-			if s, ok := run(w, shorter, false); ok && len(s.broken) > 0 && property(s.broken[0]) == name {
+			if s, ok := run(w, shorter, false); ok && len(s.found()) > 0 && property(s.found()[0]) == name {
 				path = shorter
 			} else {
 				i += size
@@ -329,12 +382,12 @@
 // Kinds are the kinds of fault.
 func Kinds() []string {
 	return []string{"connect", "drain", "error", "full", "garbled", "half", "kill", "late", "leave", "no-state", "part", "reset",
-		"restart", "silent"}
+		"restart", "retry", "silent"}
 }
 
 // Story tells a path as numbered steps with the state after each.
 func Story(w World, path Path) (lines []string, broken []string) {
-	s := newSim(w, true)
+	s := newState(w, true)
 	lines = append(lines, fmt.Sprintf("world %s: %d readers, %d writers, inferences %v", w.Name, w.Readers, w.Writers, w.Effects))
 	before := s.tellState()
 	for i, n := range path {
@@ -351,17 +404,17 @@
 			}
 		}
 		before = after
-		if len(s.broken) > 0 {
+		if len(s.found()) > 0 {
 			break
 		}
 	}
-	if len(s.broken) == 0 && len(s.events()) == 0 {
+	if len(s.found()) == 0 && s.over() {
 		s.checkEnd()
 	}
-	for _, b := range s.broken {
+	for _, b := range s.found() {
 		lines = append(lines, "BROKEN "+b)
 	}
-	return lines, s.broken
+	return lines, s.found()
 }
 
 var stateNames = map[attempt.State]string{attempt.Dialling: "dialling", attempt.Writing: "writing",
@@ -396,20 +449,16 @@
 
 // Steps are the events of a path, and what each client ends with.
 func Steps(w World, path Path) (steps []Step, finals []string, err error) {
-	s := newSim(w, true)
-	start := s.now
+	s := newState(w, true)
 	for i, n := range path {
 		row := s.events()
 		if int(n) >= len(row) {
 			return nil, nil, fmt.Errorf("step %d does not fit this text any more", i+1)
 		}
 		s.step(row[n])
-		steps = append(steps, Step{row[n].Name, time.Duration(s.now - start)})
-	}
-	for _, c := range s.clients {
-		finals = append(finals, c.final)
+		steps = append(steps, Step{row[n].Name, s.clock()})
 	}
-	return steps, finals, nil
+	return steps, s.finals(), nil
 }
 
 // Names are the engines of a world, as its events name them: readers first.
--- a/prove/mutations_test.go
+++ b/prove/mutations_test.go
@@ -60,9 +60,12 @@
 	{"the end comes late", "brain/brain.go", "return 3 * int64(b.num(\"tick\", float64(time.Millisecond)))", "return -60 * int64(b.num(\"tick\", float64(time.Millisecond)))", "one", "P4"},
 	{"states are kept past the pin limit", "settings/facts.go", "float64(d.Rules.Pin) * 5 / 8", "float64(d.Rules.Pin) * 4", "one", "P5"},
 	{"what is held is not let go of at the end", "brain/brain.go", "\tb.effects = append(b.effects, Discard{inf.Inf})\n\treturn nothing", "\treturn nothing", "one", "P5 P9 P10"},
+	{"every node has a lot", "brain/brain.go", "math.Mod(b.num(\"me\", 0)+first, nodes) < rest*nodes/7.5", "first+rest >= 0", "crowd-300", "P14"},
+	{"the cold budget is thrice as large", "brain/brain.go", "places := 1.2 *", "places := 3 * 1.2 *", "crowd-300", "P14"},
+	{"a node refuses too early", "limits/limits.go", "g.open >= g.bounds.Open", "g.open+1 >= g.bounds.Open", "limit", "P13"},
 }
 
-// Each defect must be caught by a property that is named for it. The build of thirty binaries takes a minute or two,
+// Each defect must be caught by a property that is named for it. The build of some thirty binaries takes a minute or two,
 // so CI takes three of them and SANDCOURSE_MUTATIONS=all the rest.
 func TestMutationsAreCaught(t *testing.T) {
 	root, err := filepath.Abs("..")
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -22,6 +22,8 @@
 	{"P10", "every way comes to an end: nobody waits for what will not happen"},
 	{"P11", "what the module is told proves a send not run did not run"},
 	{"P12", "the module never fails, and nothing is refused within the bounds"},
+	{"P13", "a call is refused before it is an inference only where as many are open as the node may hold"},
+	{"P14", "all nodes together send a cold engine no more than its budget"},
 }
 
 // checkSend looks at a send as its first byte goes out.
@@ -44,6 +46,13 @@
 	if told, ok := s.toldAt[name]; ok && s.now-told > int64(grace) {
 		s.say("P7 %s is sent to %s %v after the news of its drain", r.inference, name, time.Duration(s.now-told))
 	}
+	if s.apart {
+		for _, e := range s.list.Engines {
+			if e.Engine == name && e.UpSince > 0 {
+				s.toCold = append(s.toCold, coldSend{name, s.now, e.UpSince * 1e6})
+			}
+		}
+	}
 	s.freed(r.inference)
 }
 
--- a/prove/prove_test.go
+++ b/prove/prove_test.go
@@ -17,7 +17,7 @@
 // The small worlds whole, with the verdict and the count of states that they always have.
 func TestSmallWorldsHold(t *testing.T) {
 	var took Cover
-	for _, name := range []string{"one", "two"} {
+	for _, name := range []string{"one", "two", "limit", "nodes-two"} {
 		w, _ := Find(name)
 		r := Start(w).Go(Bounds{Workers: 4}, nil)
 		tell(t, r)
@@ -50,6 +50,45 @@
 	}
 }
 
+// A copy of a state must go on as the state itself would: the search by copies agrees with the one that plays every
+// path from the start, in every count and in every end.
+func TestCopiesLoseNothing(t *testing.T) {
+	for _, name := range []string{"single", "limit", "nodes-two"} {
+		w, _ := Find(name)
+		copied := Start(w).Go(Bounds{Workers: 4}, nil)
+		played := Start(w).Go(Bounds{Workers: 4, Replay: true}, nil)
+		if !reflect.DeepEqual(copied, played) || !copied.Complete {
+			t.Errorf("%s: %+v\n%+v", name, copied, played)
+		}
+	}
+}
+
+// Events of different nodes commute: taking them in one order leaves out no end, and no break.
+func TestOrderOfNodesLosesNothing(t *testing.T) {
+	for _, kinds := range [][]string{{"drain"}, {"restart", "reset"}, {"leave", "full", "late"}} {
+		w := World{Name: "nodes", Readers: 1, Writers: 1, Effects: []string{"non-retriable"}, Faults: 1, Nodes: 2, Kinds: kinds}
+		ordered := Start(w).Go(Bounds{Workers: 4}, nil)
+		w.Plain = true
+		plain := Start(w).Go(Bounds{Workers: 4}, nil)
+		tell(t, ordered)
+		tell(t, plain)
+		if ordered.EndsSum != plain.EndsSum || ordered.Ends != plain.Ends || !plain.Complete || plain.Ends < 5 ||
+			ordered.Transitions >= plain.Transitions {
+			t.Errorf("%v: %+v\n%+v", kinds, ordered, plain)
+		}
+	}
+}
+
+// What 3 to 300 nodes decide on their own stays under the budget of a cold engine, and is not nothing.
+func TestCrowdsKeepTheColdBudget(t *testing.T) {
+	for _, w := range Crowds {
+		r := Crowd(w, 7, nil)
+		if len(r.Broken) > 0 || r.Cold < 5 {
+			t.Errorf("%s: %v, at most %d sends in a window", w.Name, r.Broken, r.Cold)
+		}
+	}
+}
+
 // Opening states that are alike once must lose nothing: without merging, every way of a small world ends alike.
 func TestMergingLosesNothing(t *testing.T) {
 	w := World{Name: "tiny", Readers: 1, Writers: 1, Effects: []string{"non-retriable"}, Faults: 1,
@@ -60,14 +99,14 @@
 	var walk func(path Path)
 	walk = func(path Path) {
 		s, _ := run(w, path, false)
-		if len(s.broken) > 0 {
-			t.Fatalf("%v at %v", s.broken, path)
+		if len(s.found()) > 0 {
+			t.Fatalf("%v at %v", s.found(), path)
 		}
 		n := len(s.events())
 		if n == 0 {
 			s.checkEnd()
 			ends++
-			finals[s.clients[0].final] = true
+			finals[s.finals()[0]] = true
 			return
 		}
 		for i := range n {
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -36,6 +36,11 @@
 	Faults  int      `json:"faults"`  // that the adversary has
 	Kinds   []string `json:"kinds"`   // of faults it may use; all if empty
 	PerConn int      `json:"lines_per_engine"`
+	Probes  bool     `json:"probes"` // engines are asked for their load
+	Open    int      `json:"open"`   // inferences that a node takes at once; 0 for no bound
+	Nodes   int      `json:"nodes"`  // on the same engines, each with these inferences; 0 and 1 are the same
+	Plain   bool     `json:"plain"`  // every order of events of different nodes is tried
+	Crowd   bool     `json:"crowd"`  // not explored: one long seeded walk, see Crowd
 }
 
 // The times of all worlds are short, so that few timers lie between an inference and its end. Their order is that
@@ -97,6 +102,7 @@
 	finals int
 	name   string // of its inference
 	done   bool   // a writer has given its last event
+	again  bool   // it has come back with the same after it left
 	ran    int    // writers that may have run it
 }
 
@@ -118,17 +124,31 @@
 	life    int         // of the node: it may be killed and start anew
 	took    Cover       // by earlier lives
 	asks    map[int]int // of each life
+	joined  int         // clients so far
+	node    int         // among several
+	toCold  []coldSend  // sends to engines that have started anew
+	apart   bool        // one of several nodes: list, restarts and time are the fleet's
+}
+
+// coldSend is one send to an engine that had started anew at since.
+type coldSend struct {
+	engine    string
+	at, since int64
 }
 
 func (w World) deployment() *settings.Deployment {
 	d := settings.Defaults()
-	d.Node, d.Tick, d.Stall, d.Probes = "n", tick, stall, false
+	d.Node, d.Tick, d.Stall, d.Probes = "n", tick, stall, w.Probes
 	d.Rules.DrainGrace, d.Rules.Pin = grace, pin
 	d.Lines.Idle, d.Lines.DialTime = 150*time.Millisecond, 100*time.Millisecond
 	d.Lines.PerEngine = max(1, w.PerConn)
 	if w.PerConn == 0 {
 		d.Lines.PerEngine = 4
 	}
+	if w.Open > 0 {
+		d.Limits.Open = w.Open
+	}
+	d.Nodes = max(1, w.Nodes)
 	d.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
 	for _, effect := range []string{"retriable", "deduped", "non-retriable"} {
 		d.Routes = append(d.Routes, settings.Route{Name: effect, Effect: effect, Value: 1, FirstToken: target,
@@ -137,9 +157,16 @@
 	return d
 }
 
-func newSim(w World, tell bool) *sim {
+func newSim(w World, tell bool) *sim { return newNode(w, 0, tell) }
+
+// newNode is one node of a world, by its number.
+func newNode(w World, me int, tell bool) *sim {
 	s := &sim{w: w, d: w.deployment(), now: int64(1000 * time.Second), toldAt: map[string]int64{}, tell: tell,
-		asks: map[int]int{}}
+		asks: map[int]int{}, node: me, apart: w.Nodes > 1}
+	s.d.Me = me
+	if s.apart {
+		s.d.Node = fmt.Sprint("n", me)
+	}
 	s.begin()
 	for i := range w.Readers + w.Writers {
 		kind := "prefill"
@@ -150,19 +177,26 @@
 	}
 	s.list.Revision = 1
 	s.do(func() { s.core.TakeList(s.list) })
-	for i, effect := range w.Effects {
-		c := &simClient{sim: s, n: i, effect: effect}
-		c.core = &node.Client{ID: int64(i + 1), Socket: c}
-		s.clients = append(s.clients, c)
-		s.do(func() { s.core.ClientOpened(c.core) })
+	for _, effect := range w.Effects {
+		s.join(effect)
 	}
 	return s
 }
 
+// join is a client's connection.
+func (s *sim) join(effect string) *simClient {
+	c := &simClient{sim: s, n: s.joined, effect: effect}
+	s.joined++
+	c.core = &node.Client{ID: int64(s.joined), Socket: c}
+	s.clients = append(s.clients, c)
+	s.do(func() { s.core.ClientOpened(c.core) })
+	return c
+}
+
 // begin starts a life of the node.
 func (s *sim) begin() {
 	s.life++
-	s.core = node.New(s.d, uint64(s.life), int64(s.life), s.now, s, watch{s})
+	s.core = node.New(s.d, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
 }
 
 // kill ends the node outright and starts it anew with its last list. What it held is its clients' loss and its
@@ -311,7 +345,7 @@
 		} else if failed > 0 {
 			final = "errored"
 		}
-		if i := strings.Index(text, "0\r\n\r\n"); finals > 0 && i >= 0 && i+5 < len(text) {
+		if i := strings.Index(text, "\r\n0\r\n\r\n"); finals > 0 && i >= 0 && i+7 < len(text) {
 			c.sim.say("P1 client %d gets more after the end of its stream", c.n)
 		}
 	} else if heads > 0 {
@@ -422,13 +456,60 @@
 }
 
 // events lists what may happen now, in an order that hangs on nothing but the state.
-func (s *sim) events() (row []Event) {
+func (s *sim) events() []Event {
+	row, pending := s.own()
+	if s.apart {
+		return row
+	}
+	add := func(name, fault string, do func()) {
+		if fault == "" || s.may(fault) {
+			row = append(row, Event{name, fault, do})
+		}
+	}
+	for i, e := range s.list.Engines {
+		if e.State == roster.Ready {
+			add("the list says that "+e.Engine+" drains", "drain", func() {
+				s.list.Revision++
+				s.list.Engines = slices.Clone(s.list.Engines)
+				s.list.Engines[i].State = roster.Draining
+				s.hear()
+			})
+			add(e.Engine+" restarts cold", "restart", func() {
+				s.list.Revision++
+				s.list.Engines = slices.Clone(s.list.Engines)
+				s.list.Engines[i].UpSince = s.now / 1e6
+				s.restart(e.Engine)
+			})
+		}
+	}
+	if !pending && !s.quiet() {
+		due := s.core.Due()
+		add("time passes", "", func() { s.pass(max(due, s.now)) })
+		add(fmt.Sprintf("time passes, and the timer runs %v late", lateBy), "late", func() {
+			s.pass(max(due, s.now) + int64(lateBy))
+		})
+	}
+	return row
+}
+
+// hear hands the list to the node, and notes by truth what it was told.
+func (s *sim) hear() {
+	for _, e := range s.list.Engines {
+		if _, ok := s.toldAt[e.Engine]; !ok && e.State == roster.Draining {
+			s.toldAt[e.Engine] = s.now
+		}
+	}
+	s.do(func() { s.core.TakeList(s.list) })
+}
+
+// own lists what may happen at this node and on its connections. Pending is whether some of it happens by itself
+// before time passes.
+func (s *sim) own() (row []Event, pending bool) {
 	add := func(name, fault string, do func()) {
 		if fault == "" || s.may(fault) {
 			row = append(row, Event{name, fault, do})
 		}
 	}
-	pending := false // something will happen by itself before time passes
 	for _, c := range s.clients {
 		if !c.asked {
 			pending = true
@@ -438,6 +519,11 @@
 				c.gone, c.endAt, c.final = true, s.now, "left"
 				s.do(func() { s.core.ClientGone(c.core) })
 			})
+		} else if c.final == "left" && !c.again {
+			add(fmt.Sprintf("client %d comes back and asks the same again", c.n), "retry", func() {
+				c.again = true
+				s.ask(s.join(c.effect))
+			})
 		}
 	}
 	for _, l := range s.lines {
@@ -508,29 +594,10 @@
 		pending = true
 		s.answers(r, add)
 	}
-	for i, e := range s.list.Engines {
-		if e.State == roster.Ready {
-			add("the list says that "+e.Engine+" drains", "drain", func() {
-				s.list.Revision++
-				s.list.Engines = slices.Clone(s.list.Engines)
-				s.list.Engines[i].State = roster.Draining
-				s.toldAt[e.Engine] = s.now
-				s.do(func() { s.core.TakeList(s.list) })
-			})
-			add(e.Engine+" restarts cold", "restart", func() { s.restart(i) })
-		}
-	}
 	if slices.ContainsFunc(s.clients, func(c *simClient) bool { return c.asked && c.endAt == 0 }) {
 		add("the node is killed and starts anew", "kill", s.kill)
 	}
-	if !pending && !s.quiet() {
-		due := s.core.Due()
-		add("time passes", "", func() { s.pass(max(due, s.now)) })
-		add(fmt.Sprintf("time passes, and the timer runs %v late", lateBy), "late", func() {
-			s.pass(max(due, s.now) + int64(lateBy))
-		})
-	}
-	return row
+	return row, pending
 }
 
 func (r *request) what() string {
@@ -563,8 +630,16 @@
 	}
 	r, _ := http.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
 	s.asks[s.life]++
-	c.name = fmt.Sprintf("n-%x-%d", s.life, s.asks[s.life])
+	c.name = fmt.Sprintf("%s-%x-%d", s.d.Node, s.life, s.asks[s.life])
+	before := s.core.Holding().Inferences
 	s.do(func() { s.core.Ask(c.core, &node.Asked{Request: r, Call: call, Bytes: len(body)}) })
+	if c.endAt > 0 && !strings.Contains(string(c.out), chat.HeaderInference) { // refused before it was an inference
+		s.asks[s.life]--
+		c.name = ""
+		if s.w.Open == 0 || before < s.w.Open {
+			s.say("P13 client %d is refused with %d inferences open", c.n, before)
+		}
+	}
 }
 
 func (s *sim) pass(to int64) {
@@ -726,9 +801,8 @@
 	s.do(func() { s.core.LineBroken(l.core) })
 }
 
-// restart ends an engine with all it holds; it is listed as just started.
-func (s *sim) restart(i int) {
-	name := s.list.Engines[i].Engine
+// restart ends an engine with all it holds, as the list says already.
+func (s *sim) restart(name string) {
 	s.held = slices.DeleteFunc(s.held, func(h held) bool { return h.reader == name })
 	for _, l := range s.lines {
 		if l.core.Engine == name && l.open && !l.closed {
@@ -738,10 +812,7 @@
 			s.reset(l)
 		}
 	}
-	s.list.Revision++
-	s.list.Engines = slices.Clone(s.list.Engines)
-	s.list.Engines[i].UpSince = s.now / 1e6
-	s.do(func() { s.core.TakeList(s.list) })
+	s.hear()
 }
 
 func (s *sim) ran(r *request) {
@@ -757,7 +828,7 @@
 	h := xxhash.New()
 	s.core.Digest(h)
 	for _, c := range s.clients {
-		fmt.Fprintln(h, c.asked, c.gone, c.endAt > 0, c.final, c.finals, c.name, c.ran, c.done, s.now-c.at)
+		fmt.Fprintln(h, c.asked, c.gone, c.endAt > 0, c.final, c.finals, c.name, c.ran, c.done, c.again, s.now-c.at)
 	}
 	var rows []string
 	for _, l := range s.lines {
@@ -785,5 +856,8 @@
 	for _, name := range slices.Sorted(maps.Keys(s.toldAt)) {
 		fmt.Fprintln(h, name, s.now-s.toldAt[name])
 	}
+	for _, x := range s.toCold {
+		fmt.Fprintln(h, x.engine, s.now-x.at, s.now-x.since)
+	}
 	return h.Sum64()
 }
--- a/prove/worlds.go
+++ b/prove/worlds.go
@@ -1,5 +1,7 @@
 package prove
 
+import "slices"
+
 // Worlds are those that are explored whole. Small ones run in CI.
 var Worlds = []World{
 	{Name: "one", About: "one non-retriable inference, one reader, one writer, any two faults",
@@ -20,6 +22,14 @@
 	{Name: "lines-garbled", About: "two inferences over one connection an engine, answers that are none",
 		Readers: 1, Writers: 1, Effects: []string{"retriable", "retriable"}, Faults: 1, PerConn: 1,
 		Kinds: []string{"garbled", "half"}},
+	{Name: "probes", About: "one non-retriable inference, one reader, two writers, load asked for, any two faults",
+		Readers: 1, Writers: 2, Effects: []string{"non-retriable"}, Faults: 2, Probes: true},
+	{Name: "limit", About: "two inferences at a node that takes one at once, any one fault",
+		Readers: 1, Writers: 1, Effects: []string{"non-retriable", "retriable"}, Faults: 1, Open: 1},
+	{Name: "nodes-two", About: "two nodes, one inference each, one reader, one writer, any one fault",
+		Readers: 1, Writers: 1, Effects: []string{"non-retriable"}, Faults: 1, Nodes: 2},
+	{Name: "nodes-news", About: "two nodes that hear of drains and restarts at different times, two such faults",
+		Readers: 1, Writers: 2, Effects: []string{"non-retriable"}, Faults: 2, Nodes: 2, Kinds: []string{"drain", "restart"}},
 	{Name: "pair-three", About: "one non-retriable inference, two readers, two writers, any three faults (minutes)",
 		Readers: 2, Writers: 2, Effects: []string{"non-retriable"}, Faults: 3},
 	{Name: "two-two", About: "two inferences, one reader, one writer, any two faults (minutes)",
@@ -34,9 +44,17 @@
 		Writers: 2, Effects: []string{"non-retriable", "non-retriable", "retriable", "deduped", "retriable"}, Faults: 8, PerConn: 2},
 }
 
+// Crowds are many nodes, for what they do together.
+var Crowds = []World{
+	{Name: "crowd-300", About: "300 nodes, steady arrivals, engines restart cold: the budget of all together", Readers: 4,
+		Writers: 4, Effects: []string{}, Nodes: 300, Crowd: true},
+	{Name: "crowd-30", About: "30 nodes, as above", Readers: 3, Writers: 3, Effects: []string{}, Nodes: 30, Crowd: true},
+	{Name: "crowd-3", About: "three nodes, as above", Readers: 3, Writers: 3, Effects: []string{}, Nodes: 3, Crowd: true},
+}
+
 // Find is a world by name.
 func Find(name string) (World, bool) {
-	for _, w := range append(append([]World{}, Worlds...), Large...) {
+	for _, w := range slices.Concat(Worlds, Large, Crowds) {
 		if w.Name == name {
 			return w, true
 		}
