roles: which engine changes its role, when and how; explored with the planner killed anywhere

Need: boxes should move between reading and writing as the mix of work shifts, and nothing may be stranded or sent to an engine in the wrong role when a part of that fails.

roles/ holds the table of an engine's role with time-outs and ways back, the demand in work, the worth of a change against its cost, floors and budgets; planwire/ what is said between planner, edges, engines and operators; plan/ the planner on sockets with a durable store; follow/ an edge's line to it. Sends carry the epoch of the role, engines refuse another as surely not run. prove has worlds for the table, with the planner killed between any two effects.

--- a/cmd/sandcourse/prove.go
+++ b/cmd/sandcourse/prove.go
@@ -93,7 +93,9 @@
 			taken, of := took.Taken()
 			fmt.Fprintf(c.OutOrStdout(), "rows of the tables taken: %d of %d\n", taken, of)
 			for _, name := range took.Missing() {
-				fmt.Fprintln(c.OutOrStdout(), "  never taken:", name)
+				if len(worlds) > 1 || strings.HasPrefix(name, "roles") == worlds[0].Roles { // those that the world could take
+					fmt.Fprintln(c.OutOrStdout(), "  never taken:", name)
+				}
 			}
 			if bad > 0 {
 				return exit(1)
--- a/edge/node.go
+++ b/edge/node.go
@@ -6,8 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +23,9 @@
 	"go.uber.org/zap"
 
 	"sandcourse/brain"
+	"sandcourse/follow"
 	"sandcourse/node"
+	"sandcourse/planwire"
 	"sandcourse/roster"
 	"sandcourse/settings"
 )
@@ -49,6 +53,7 @@
 	done   chan struct{}
 	over   sync.WaitGroup
 	fail   func(brain.Input) // a test's panic inside the module
+	counts map[string]*planwire.RouteCount
 }
 
 // Bytes that may wait for the owner; far over what a node's sockets bring between two of its rounds.
@@ -63,10 +68,44 @@
 	if n.source == nil && d.Roster != "" {
 		n.source = roster.File{Path: d.Roster}
 	}
+	if n.source == nil && d.Planner != "" {
+		n.source = follow.Planner{Addr: d.Planner, Report: n.report}
+	}
+	n.counts = map[string]*planwire.RouteCount{}
 	n.core = node.New(d, seed, n.epoch, n.clock(), n, watch{n})
 	return n
 }
 
+// count is the owner's: what the node has counted on one model route.
+func (n *Node) count(route string) *planwire.RouteCount {
+	c := n.counts[route]
+	if c == nil {
+		c = &planwire.RouteCount{Route: route}
+		n.counts[route] = c
+	}
+	return c
+}
+
+// report asks the owner for its counts.
+func (n *Node) report(ctx context.Context) (planwire.EdgeReport, error) {
+	got := make(chan planwire.EdgeReport, 1)
+	n.in.put(0, func() {
+		r := planwire.EdgeReport{Edge: n.d.Node, Life: n.epoch}
+		for _, route := range slices.Sorted(maps.Keys(n.counts)) {
+			r.Routes = append(r.Routes, *n.counts[route])
+		}
+		got <- r
+	})
+	select {
+	case r := <-got:
+		return r, nil
+	case <-n.done:
+		return planwire.EdgeReport{}, errors.New("the node has stopped")
+	case <-ctx.Done():
+		return planwire.EdgeReport{}, ctx.Err()
+	}
+}
+
 // clock is Unix nanoseconds that never go back: the start's wall time and what has passed since.
 func (n *Node) clock() int64 { return n.started.UnixNano() + int64(time.Since(n.started)) }
 
@@ -308,6 +347,16 @@
 
 func (w watch) Final(f node.Final) {
 	w.n.metrics.finals.WithLabelValues(f.Route, f.Final).Inc()
+	c := w.n.count(f.Route)
+	c.Arrived++
+	c.Prompt += float64(f.Prompt)
+	if f.First > 0 {
+		c.Ended++
+		c.Answer += float64(f.Tokens)
+	}
+	if f.Final == "shed" {
+		c.Shed++
+	}
 	fields := []zap.Field{zap.String("inference", f.Inference), zap.String("route", f.Route),
 		zap.String("session", sessionHash(f.Session)), zap.Strings("sends", f.Sends), zap.Duration("took", f.Took),
 		zap.Int("prompt", f.Prompt)}
@@ -322,8 +371,14 @@
 
 func (w watch) Shed(route string) { w.n.metrics.finals.WithLabelValues(route, "shed").Inc() }
 
-func (w watch) First(route string, after time.Duration) {
+func (w watch) First(route string, after time.Duration, prompt int) {
 	w.n.metrics.firsts.WithLabelValues(route).Observe(after.Seconds())
+	c := w.n.count(route)
+	c.Began++
+	c.BegunFor += float64(prompt)
+	if t := w.n.d.Routes[w.n.d.Route(route)]; after <= t.FirstToken+time.Duration(float64(t.PerTokns)*float64(prompt)/1000) {
+		c.InTime++
+	}
 }
 
 func (w watch) Refused(why string) { w.n.metrics.refused.WithLabelValues(why).Inc() }
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -15,6 +15,7 @@
 	queued int // tokens on their way through the owner
 	to     node.ClientSocket
 	shut   bool
+	passed atomic.Int64
 	last   atomic.Int64 // when a token last passed, by the node's clock
 }
 
@@ -30,6 +31,7 @@
 		return false
 	}
 	r.last.Store(now)
+	r.passed.Add(1)
 	r.to.Send(node.Chunk(event))
 	return true
 }
@@ -51,5 +53,8 @@
 	r.mu.Unlock()
 }
 
+// Passed is how many tokens went past the owner.
+func (r *relay) Passed() int { return int(r.passed.Load()) }
+
 // Last is when a token last passed.
 func (r *relay) Last() int64 { return r.last.Load() }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -25,6 +25,7 @@
 	HeaderWaiting = "X-Sandcourse-Waiting" // thousands of prompt tokens to read or fetch
 	HeaderOpen    = "X-Sandcourse-Open"    // inferences it holds
 	HeaderSend    = "X-Sandcourse-Send"    // which send of the inference a read is; its state goes by both
+	HeaderEpoch   = "X-Sandcourse-Epoch"   // of the engine's role, as the edge knows it
 )
 
 // The words of HeaderRefused.
@@ -32,6 +33,8 @@
 	RefusedFull     = "full"
 	RefusedDraining = "draining"
 	RefusedNoState  = "no-state"
+	RefusedEpoch    = "epoch" // its role has another epoch by now, or it loads for the next one
+	RefusedRole     = "role"  // it has no epochs, or the same, and another role
 )
 
 // Transfer is kv_transfer_params: how a read state is named.
@@ -50,19 +53,20 @@
 	Name string // of the inference, unique over nodes and restarts
 }
 
-// Read asks a reader for a state; send is its number among the inference's sends.
-func (j Job) Read(host string, send int) ([]byte, error) {
-	return j.request(host, send, map[string]any{"stream": false, "stream_options": nil, "max_tokens": 1,
+// Read asks a reader for a state; send is its number among the inference's sends. Epoch is of the engine's role, 0
+// where it has none.
+func (j Job) Read(host string, epoch int64, send int) ([]byte, error) {
+	return j.request(host, epoch, send, map[string]any{"stream": false, "stream_options": nil, "max_tokens": 1,
 		"max_completion_tokens": nil, "kv_transfer_params": Transfer{RemoteDecode: true}})
 }
 
 // Write asks a writer for the answer from a state.
-func (j Job) Write(host string, t Transfer) ([]byte, error) {
-	return j.request(host, -1, map[string]any{"stream": true, "max_tokens": j.Call.MaxAnswer,
+func (j Job) Write(host string, epoch int64, t Transfer) ([]byte, error) {
+	return j.request(host, epoch, -1, map[string]any{"stream": true, "max_tokens": j.Call.MaxAnswer,
 		"max_completion_tokens": nil, "kv_transfer_params": t})
 }
 
-func (j Job) request(host string, send int, put map[string]any) ([]byte, error) {
+func (j Job) request(host string, epoch int64, send int, put map[string]any) ([]byte, error) {
 	body, err := j.Call.Rewritten(put)
 	if err != nil {
 		return nil, err
@@ -74,6 +78,9 @@
 	if send >= 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n", HeaderSend, send)
 	}
+	if epoch > 0 {
+		fmt.Fprintf(&b, "%s: %d\r\n", HeaderEpoch, epoch)
+	}
 	for _, h := range [][2]string{{chat.HeaderRequest, j.Call.Request}, {chat.HeaderRepeat, j.Call.RepeatMark}} {
 		if h[1] != "" {
 			fmt.Fprintf(&b, "%s: %s\r\n", h[0], h[1])
@@ -106,7 +113,7 @@
 		return attempt.Garbled
 	case word == RefusedNoState:
 		return attempt.NoState
-	case word == RefusedFull, word == RefusedDraining:
+	case word == RefusedFull, word == RefusedDraining, word == RefusedEpoch, word == RefusedRole:
 		return attempt.Refused
 	}
 	// A status alone, 503 too, does not say that nothing ran.
--- a/node/core.go
+++ b/node/core.go
@@ -74,6 +74,7 @@
 	whole    *chat.Whole // where the client wants one answer
 	began    bool
 	firstAt  int64
+	tokens   int    // passed on by the core; relays count theirs
 	final    string // completed, shed, errored or left; empty while none is given
 	job      engine.Job
 }
@@ -398,9 +399,9 @@
 	var request []byte
 	var err error
 	if s.writes {
-		request, err = inf.job.Write(e.Engine, inf.transfer)
+		request, err = inf.job.Write(e.Engine, o.entry(e.Engine).Epoch, inf.transfer)
 	} else {
-		request, err = inf.job.Read(e.Engine, s.n)
+		request, err = inf.job.Read(e.Engine, o.entry(e.Engine).Epoch, s.n)
 	}
 	atMost := int64(o.d.Lines.Idle)
 	if s.writes && o.d.Routes[inf.route].Effect != "retriable" {
@@ -413,19 +414,25 @@
 
 // reads is whether a send to an engine asks for a read: by its kind, or by whether a state is at hand.
 func (o *Core) reads(engineID string, inf *open) bool {
+	switch o.d.Role(o.entry(engineID).Kind) {
+	case "read":
+		return true
+	case "write":
+		return false
+	}
+	return inf.transfer.Host == ""
+}
+
+// entry is what the list says of an engine; nothing of one that is not in it.
+func (o *Core) entry(engineID string) roster.Entry {
 	if o.list != nil {
 		for _, e := range o.list.Engines {
 			if e.Engine == engineID {
-				switch o.d.Role(e.Kind) {
-				case "read":
-					return true
-				case "write":
-					return false
-				}
+				return e
 			}
 		}
 	}
-	return inf.transfer.Host == ""
+	return roster.Entry{}
 }
 
 // happen is where all socket events of a send end up: its machine judges them, and the outcome, if there is
@@ -506,9 +513,10 @@
 				"Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n\r\n",
 				chat.HeaderInference, inf.name))
 		}
-		o.watch.First(o.d.Routes[inf.route].Name, time.Duration(o.now-inf.at))
+		o.watch.First(o.d.Routes[inf.route].Name, time.Duration(o.now-inf.at), inf.asked.Call.Prompt)
 		o.tell(brain.FirstToken{Inf: inf.id, Send: s.n, Engine: s.engine, Lag: o.now - s.at})
 	}
+	inf.tokens++
 	if inf.whole == nil && inf.final == "" {
 		o.write(inf.client, Chunk(s.token))
 	}
@@ -613,12 +621,16 @@
 	if inf.began {
 		f.First = time.Duration(inf.firstAt - inf.at)
 	}
+	f.Tokens = inf.tokens
 	for _, s := range inf.sends {
 		verdict := "out"
 		if s.ended {
 			verdict = verdictNames[s.verdict]
 		}
 		f.Sends = append(f.Sends, s.engine+" "+verdict)
+		if s.relay != nil {
+			f.Tokens += s.relay.Passed()
+		}
 	}
 	o.watch.Final(f)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	Took(to ClientSocket, flush func()) // one that came through the core is passed on
 	Close()                             // no token passes any more
 	Last() int64                        // when one last passed, by the node's clock
+	Passed() int                        // tokens so far
 }
 
 // Final is one final answer, as logs have it.
@@ -46,7 +47,7 @@
 	Inference, Route, Session, Final, Why string
 	Sends                                 []string
 	Took, First                           time.Duration
-	Prompt                                int
+	Prompt, Tokens                        int
 }
 
 // Watch is told what happens; nothing hangs on it.
@@ -55,7 +56,7 @@
 	ModuleFailed(p any, in brain.Input, stack []byte)
 	Final(f Final)
 	Shed(route string) // before it was an inference
-	First(route string, after time.Duration)
+	First(route string, after time.Duration, prompt int)
 	Refused(why string)
 	Unreleased()
 	Listed(revision int64, engines int, unknown []string)
--- /dev/null
+++ b/plan/store.go
@@ -0,0 +1,178 @@
+package plan
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+
+	"sandcourse/roles"
+)
+
+// Store keeps the planner's intent: its term, its orders, and where each engine's role stands. A transaction is whole
+// or not there; each value has a checksum of its own as well, for what a disk does to it later.
+type Store struct {
+	path string
+	db   *bbolt.DB
+}
+
+var (
+	recordsBucket = []byte("records")
+	metaBucket    = []byte("meta")
+	metaKey       = []byte("meta")
+	termKey       = []byte("term")
+)
+
+// ErrTaken says that another planner has the store open.
+var ErrTaken = errors.New("another planner has it open")
+
+// Kept is what a store held.
+type Kept struct {
+	Term    int64
+	Meta    roles.Meta
+	Records []roles.Record
+	Faults  []string // what could not be read, and was left out
+}
+
+// Open opens the store at path, or makes it. A file that is damaged as a whole is put beside under another name, and
+// an empty one takes its place: engines are asked for their roles then.
+func Open(path string) (*Store, Kept, error) {
+	s := &Store{path: path}
+	kept, err := s.open()
+	if err == nil || errors.Is(err, ErrTaken) || errors.Is(err, os.ErrPermission) || errors.Is(err, os.ErrNotExist) {
+		return s, kept, err
+	}
+	if s.db != nil {
+		s.db.Close()
+	}
+	aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().Unix())
+	if e := os.Rename(path, aside); e != nil {
+		return s, kept, errors.Join(err, e)
+	}
+	why := fmt.Sprintf("store %s: %v; it is kept as %s, and a new one begun", path, err, aside)
+	kept, err = s.open()
+	kept.Faults = append(kept.Faults, why)
+	return s, kept, err
+}
+
+func (s *Store) open() (kept Kept, err error) {
+	// bbolt reads its pages from memory as they are: a damaged one ends in a panic.
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("store %s is damaged: %v", s.path, p)
+		}
+	}()
+	s.db = nil
+	db, err := bbolt.Open(s.path, 0o600, &bbolt.Options{Timeout: time.Second})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return kept, fmt.Errorf("store %s: %w", s.path, ErrTaken)
+	} else if err != nil {
+		return kept, fmt.Errorf("store %s: %w", s.path, err)
+	}
+	s.db = db
+	if err := db.View(func(tx *bbolt.Tx) error {
+		for err := range tx.Check() {
+			return err
+		}
+		return nil
+	}); err != nil {
+		return kept, fmt.Errorf("store %s: %w", s.path, err)
+	}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{recordsBucket, metaBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return kept, fmt.Errorf("store %s: %w", s.path, err)
+	}
+	err = db.View(func(tx *bbolt.Tx) error {
+		meta := tx.Bucket(metaBucket)
+		for _, v := range []struct {
+			key  []byte
+			into any
+		}{{termKey, &kept.Term}, {metaKey, &kept.Meta}} {
+			if data := meta.Get(v.key); data != nil {
+				if err := unseal(data, v.into); err != nil {
+					return fmt.Errorf("%s: %w", v.key, err) // without a term it must not go on
+				}
+			}
+		}
+		return tx.Bucket(recordsBucket).ForEach(func(key, data []byte) error {
+			var r roles.Record
+			if err := unseal(data, &r); err != nil {
+				kept.Faults = append(kept.Faults, fmt.Sprintf("store %s: engine %s: %v; it is asked for its role", s.path, key, err))
+				return nil
+			}
+			kept.Records = append(kept.Records, r)
+			return nil
+		})
+	})
+	if err != nil {
+		return kept, fmt.Errorf("store %s: %w", s.path, err)
+	}
+	return kept, nil
+}
+
+// seal puts a checksum before a value.
+func seal(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, err
+	}
+	return append(binary.BigEndian.AppendUint64(nil, xxhash.Sum64(data)), data...), nil
+}
+
+func unseal(data []byte, into any) error {
+	if len(data) < 8 || binary.BigEndian.Uint64(data) != xxhash.Sum64(data[8:]) {
+		return errors.New("its checksum does not fit")
+	}
+	return json.Unmarshal(data[8:], into)
+}
+
+// SaveTerm keeps the term of this life.
+func (s *Store) SaveTerm(term int64) error {
+	data, err := seal(term)
+	if err != nil {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(metaBucket).Put(termKey, data) })
+}
+
+// Save keeps records and meta together, on disk when it returns.
+func (s *Store) Save(k roles.Keep) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		data, err := seal(k.Meta)
+		if err != nil {
+			return err
+		}
+		if err := tx.Bucket(metaBucket).Put(metaKey, data); err != nil {
+			return err
+		}
+		for _, r := range k.Records {
+			if data, err = seal(r); err != nil {
+				return err
+			}
+			if err := tx.Bucket(recordsBucket).Put([]byte(r.Engine), data); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// Close gives the store free.
+func (s *Store) Close() error { return s.db.Close() }
+
+// Faulty joins what was told of a store.
+func (k Kept) Faulty() string { return strings.Join(slices.Clone(k.Faults), "; ") }
--- a/prove/explore.go
+++ b/prove/explore.go
@@ -14,6 +14,7 @@
 	"sandcourse/attempt"
 	"sandcourse/brain"
 	"sandcourse/conns"
+	"sandcourse/roles"
 	"sandcourse/settings"
 )
 
@@ -35,6 +36,9 @@
 }
 
 func newState(w World, tell bool) state {
+	if w.Roles {
+		return roleState{newRoleSim(w)}
+	}
 	if w.Nodes > 1 {
 		return newFleet(w)
 	}
@@ -106,13 +110,14 @@
 }
 
 // Cover is which rows of the tables were taken.
-type Cover struct{ Brain, Attempt, Conns uint64 }
+type Cover struct{ Brain, Attempt, Conns, Roles uint64 }
 
 // Add joins two.
 func (c *Cover) Add(o Cover) {
 	c.Brain |= o.Brain
 	c.Attempt |= o.Attempt
 	c.Conns |= o.Conns
+	c.Roles |= o.Roles
 }
 
 // Missing names the rows never taken.
@@ -120,7 +125,7 @@
 	for _, t := range []struct {
 		took uint64
 		rows []string
-	}{{c.Brain, brain.Rows()}, {c.Attempt, attempt.Rows()}, {c.Conns, conns.Rows()}} {
+	}{{c.Brain, brain.Rows()}, {c.Attempt, attempt.Rows()}, {c.Conns, conns.Rows()}, {c.Roles, roles.Rows()}} {
 		for i, name := range t.rows {
 			if t.took&(1<<i) == 0 {
 				row = append(row, name)
@@ -132,8 +137,8 @@
 
 // Taken is how many rows were taken, of how many.
 func (c Cover) Taken() (taken, of int) {
-	return bits.OnesCount64(c.Brain) + bits.OnesCount64(c.Attempt) + bits.OnesCount64(c.Conns),
-		len(brain.Rows()) + len(attempt.Rows()) + len(conns.Rows())
+	return bits.OnesCount64(c.Brain) + bits.OnesCount64(c.Attempt) + bits.OnesCount64(c.Conns) + bits.OnesCount64(c.Roles),
+		len(brain.Rows()) + len(attempt.Rows()) + len(conns.Rows()) + len(roles.Rows())
 }
 
 // Snapshot is an exploration between two levels, to go on from.
--- a/prove/mutations_test.go
+++ b/prove/mutations_test.go
@@ -63,6 +63,18 @@
 	{"every node has a lot", "brain/brain.go", "math.Mod(b.num(\"me\", 0)+first, nodes) < rest*nodes/7.5", "first+rest >= 0", "crowd-300", "P14"},
 	{"the cold budget is thrice as large", "brain/brain.go", "places := 1.2 *", "places := 3 * 1.2 *", "crowd-300", "P14"},
 	{"a node refuses too early", "limits/limits.go", "g.open >= g.bounds.Open", "g.open+1 >= g.bounds.Open", "limit", "P13"},
+	{"an order goes out before it is kept", "roles/core.go", "return append(row, c.out...)", "return append(c.out, row...)", "roles-one", "R6"},
+	{"a role is believed without a trial", "roles/table.go", "came, Trying, (*Core).try", "came, Cold, (*Core).enter", "roles-one", "R1 R2"},
+	{"the way back keeps the epoch", "roles/table.go", "max(b.Epoch, b.NextEpoch, b.said.Epoch)+1, c.now", "max(b.Epoch, 1), c.now", "roles-one", "R1 R2 R7"},
+	{"a drain may last for ever", "roles/table.go", "case Draining:\n\t\treturn c.bounds.Drain", "case Draining:\n\t\treturn 0", "roles", "R7"},
+	{"a load may last for ever", "roles/table.go", "case Loading, Returning:\n\t\treturn c.bounds.Load", "case Loading, Returning:\n\t\treturn 0", "roles-one", "R7"},
+	{"a lost end of a drain is not asked for again", "roles/core.go", "case r.Draining: // its", "case false: // its", "roles", "R7"},
+	{"no floor", "roles/decide.go", "return c.floors(b)", "return \"\"", "roles-last", "R3"},
+	{"an engine between two roles stays in the plan", "roles/core.go", "case Ordered, Loading, Returning, Trying, Aside:\n\t\t\tcontinue",
+		"case Aside:\n\t\t\tcontinue", "roles-one", "R8"},
+	{"a restarted planner forgets its records", "roles/core.go", "c.boxes[r.Engine] = &box{Record: r, known: true, started: r.Since}", "_ = r", "roles", "R1 R2 R4 R5 R6 R7"},
+	{"an engine that says another role is believed in the old one", "roles/core.go", "asIs := r.Epoch == b.Epoch && r.Role == b.Role && !r.Changing",
+		"asIs := !r.Changing", "roles", "R1 R2 R7"},
 }
 
 // Each defect must be caught by a property that is named for it. The build of some thirty binaries takes a minute or two,
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -24,6 +24,14 @@
 	{"P12", "the module never fails, and nothing is refused within the bounds"},
 	{"P13", "a call is refused before it is an inference only where as many are open as the node may hold"},
 	{"P14", "all nodes together send a cold engine no more than its budget"},
+	{"R1", "no plan lists an engine under an epoch under which it has another role"},
+	{"R2", "no edge, by whatever plan it still follows, has a send taken by an engine that has another role"},
+	{"R3", "no change leaves a role without an engine"},
+	{"R4", "the epoch of a role never goes back"},
+	{"R5", "plans only get newer, also over restarts of the planner"},
+	{"R6", "nothing is asked of an engine that is not kept first"},
+	{"R8", "no plan lists as ready an engine whose role is changing"},
+	{"R7", "every change comes to an end: the engine serves, or is aside for what it did"},
 }
 
 // checkSend looks at a send as its first byte goes out.
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -40,6 +40,7 @@
 	Open    int      `json:"open"`   // inferences that a node takes at once; 0 for no bound
 	Nodes   int      `json:"nodes"`  // on the same engines, each with these inferences; 0 and 1 are the same
 	Plain   bool     `json:"plain"`  // every order of events of different nodes is tried
+	Roles   bool     `json:"roles"`  // the planner and engines that change role, and no inference
 	Crowd   bool     `json:"crowd"`  // not explored: one long seeded walk, see Crowd
 }
 
@@ -371,12 +372,12 @@
 func (w watch) ModuleFailed(p any, in brain.Input, _ []byte) {
 	w.s.say("P12 the module fails on %T: %v", in, p)
 }
-func (w watch) Final(node.Final)            {}
-func (w watch) Shed(string)                 {}
-func (w watch) First(string, time.Duration) {}
-func (w watch) Refused(why string)          { w.s.say("P12 refused: %s", why) }
-func (w watch) Unreleased()                 {}
-func (w watch) Listed(int64, int, []string) {}
+func (w watch) Final(node.Final)                 {}
+func (w watch) Shed(string)                      {}
+func (w watch) First(string, time.Duration, int) {}
+func (w watch) Refused(why string)               { w.s.say("P12 refused: %s", why) }
+func (w watch) Unreleased()                      {}
+func (w watch) Listed(int64, int, []string)      {}
 
 // ---- truth about states
 
--- /dev/null
+++ b/roles/decide.go
@@ -0,0 +1,399 @@
+package roles
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"sandcourse/planwire"
+)
+
+// Weighed is what a change to one role would bring.
+type Weighed struct {
+	To     string  `json:"to"`
+	Gain   float64 `json:"gain"`     // value a second, under the mix that arrives now
+	Usual  float64 `json:"usual"`    // the same under the mixes of the last minutes
+	Cost   float64 `json:"cost"`     // value lost while the engine changes
+	For    float64 `json:"for_s"`    // how long it would have gained already
+	Engine string  `json:"engine"`   // the best one to change
+	Lost   float64 `json:"lost_tok"` // kept tokens that nobody else keeps
+	Why    string  `json:"why"`      // it is done, or not
+	Done   bool    `json:"done"`
+}
+
+// Explained is the last decision, for people.
+type Explained struct {
+	At         int64              `json:"at"`
+	Mix        mix                `json:"mix"`
+	Edges      int                `json:"edges_heard"`
+	EdgesKnown int                `json:"edges_known"`
+	Need       map[string]float64 `json:"need"`   // engines that the mix keeps busy, by role
+	Serve      map[string]float64 `json:"serve"`  // engines that serve, by role
+	Coming     map[string]float64 `json:"coming"` // and that are changing to it
+	Pace       map[string]float64 `json:"pace"`
+	Weighed    []Weighed          `json:"weighed"`
+	Changing   int                `json:"changing"`
+	Stopped    bool               `json:"stopped"`
+}
+
+// Explained is the last decision.
+func (c *Core) Explained() Explained { return c.last }
+
+// Shown is one engine as operators see it.
+type Shown struct {
+	Record
+	Listed, CanChange bool
+	Said              planwire.EngineReport `json:"said"`
+	HeardMs           int64                 `json:"heard_ms_ago"` // -1 for never
+	Barred            string                `json:"barred,omitempty"`
+	Trouble           string                `json:"trouble,omitempty"`
+}
+
+// Show lists all engines.
+func (c *Core) Show() (row []Shown) {
+	for _, id := range c.ids {
+		b := c.boxes[id]
+		s := Shown{Record: b.Record, Listed: b.present, CanChange: b.listed.CanChange, Said: b.said, HeardMs: -1, Barred: c.barred(b),
+			Trouble: b.trouble}
+		if b.saidAt > 0 {
+			s.HeardMs = (c.now - b.saidAt) / 1e6
+		}
+		row = append(row, s)
+	}
+	return row
+}
+
+// usable is how much of its work an engine can be given before queues make first tokens late. Three quarters: at more,
+// a few arrivals together wait longer than their own reading takes.
+const usable = 0.75
+
+// served is the value a second that a mix brings with so many engines in each role: routes of highest value first,
+// each as far as both roles have room.
+func (m mix) served(readers, writers, readPace, writePace float64) (value float64) {
+	r, w := readers*readPace*usable, writers*writePace*usable
+	for _, f := range m {
+		share := 1.0
+		if f.Reads > 0 {
+			share = min(share, r/(f.Rate*f.Reads))
+		}
+		if f.Writes > 0 {
+			share = min(share, w/(f.Rate*f.Writes))
+		}
+		share = max(share, 0)
+		r, w = r-share*f.Rate*f.Reads, w-share*f.Rate*f.Writes
+		value += share * f.Rate * f.Value
+	}
+	return value
+}
+
+// supply counts engines of a role that serve, by weight, and those that are on the way to it. One that says nothing
+// is not counted: what it can do is not known.
+func (c *Core) supply(role string) (serve, coming float64) {
+	for _, id := range c.ids {
+		b := c.boxes[id]
+		if !b.present {
+			continue
+		}
+		weight := cmp.Or(b.listed.Weight, 1)
+		switch b.State {
+		case Serving, Cold:
+			if b.Role == role && b.listed.Ready && !c.mute(b) {
+				serve += weight
+			}
+		case Aside:
+		default:
+			if b.Next == role {
+				coming += weight
+			}
+		}
+	}
+	return serve, coming
+}
+
+// mute is whether nothing was heard of an engine for so long that it may be dead: four questions.
+func (c *Core) mute(b *box) bool { return c.now-b.saidAt > int64(4*time.Second) }
+
+// The figures of the decision.
+const (
+	// A shift is expected to last as long again as it has lasted, at most this: mixes change with matches.
+	longest = 2 * time.Minute
+	// Nothing is decided on less than this: three reports.
+	atLeast = 3 * time.Second
+	// What a change is to gain must be worth this many times what it costs: the estimate is rough.
+	margin = 1.5
+	// Mixes of the last two minutes, one every ten seconds: what the load usually is.
+	mixEvery, mixesKept = 10 * time.Second, 12
+	// Of all engines, this share may begin a change within a minute.
+	perMinute = 0.25
+)
+
+// decide weighs one change in each direction and begins at most one.
+func (c *Core) decide() {
+	m, heard, known := c.demand()
+	paces := map[string]float64{planwire.Read: c.pace(planwire.Read), planwire.Write: c.pace(planwire.Write)}
+	x := Explained{At: c.now, Mix: m, Edges: heard, EdgesKnown: known, Need: map[string]float64{}, Serve: map[string]float64{},
+		Coming: map[string]float64{}, Pace: paces, Stopped: c.meta.Stopped || c.bounds.Off, Changing: c.changing()}
+	for _, f := range m {
+		x.Need[planwire.Read] += f.Rate * f.Reads / max(paces[planwire.Read], 1)
+		x.Need[planwire.Write] += f.Rate * f.Writes / max(paces[planwire.Write], 1)
+	}
+	for _, role := range []string{planwire.Read, planwire.Write} {
+		x.Serve[role], x.Coming[role] = c.supply(role)
+	}
+	if len(m) > 0 && (len(c.history) == 0 || c.now-c.mixAt >= int64(mixEvery)) {
+		c.history, c.mixAt = last(c.history, m, mixesKept), c.now
+	}
+	for _, to := range []string{planwire.Read, planwire.Write} {
+		x.Weighed = append(x.Weighed, c.weigh(to, m, paces, x))
+	}
+	slices.SortStableFunc(x.Weighed, func(a, b Weighed) int { return cmp.Compare(b.Gain, a.Gain) })
+	for i := range x.Weighed {
+		if w := &x.Weighed[i]; w.Why == "" {
+			w.Done, w.Why = true, "it is worth its cost"
+			c.change(c.boxes[w.Engine], fmt.Sprintf("%s has work for %.1f engines and %.1f, %s for %.1f and %.1f: %.2f of value a second gained for %.0f s, "+
+				"cost %.2f", w.To, x.Need[w.To], x.Serve[w.To]+x.Coming[w.To], planwire.Other(w.To), x.Need[planwire.Other(w.To)],
+				x.Serve[planwire.Other(w.To)], w.Gain, w.For, w.Cost))
+			break
+		}
+	}
+	c.last = x
+}
+
+// weigh judges one change to a role. Why is empty if it is to be done.
+func (c *Core) weigh(to string, m mix, paces map[string]float64, x Explained) (w Weighed) {
+	from := planwire.Other(to)
+	w.To = to
+	value := func(m mix, moved float64) float64 {
+		n := map[string]float64{to: x.Serve[to] + x.Coming[to] + moved, from: x.Serve[from] + x.Coming[from] - moved}
+		return m.served(n[planwire.Read], n[planwire.Write], paces[planwire.Read], paces[planwire.Write])
+	}
+	if len(m) == 0 || paces[planwire.Read] == 0 || paces[planwire.Write] == 0 {
+		w.Why = "nothing is known yet of what arrives or of how fast engines are"
+		if c.alone(from, to, x) && len(m) > 0 {
+			w.Gain = 1
+		} else {
+			return w
+		}
+	} else {
+		w.Gain = value(m, 1) - value(m, 0)
+	}
+	w.Why = ""
+	if w.Gain <= 1e-9 {
+		c.longing[to] = 0
+		w.Why = "it would gain nothing"
+		return w
+	}
+	if c.longing[to] == 0 {
+		c.longing[to] = c.now
+	}
+	w.For = float64(c.now-c.longing[to]) / 1e9
+	for _, h := range c.history {
+		w.Usual += (value(h, 1) - value(h, 0)) / float64(len(c.history))
+	}
+	best, why := c.best(from)
+	if best == nil {
+		w.Why = why
+		return w
+	}
+	w.Engine, w.Lost = best.Engine, c.lost(best)
+	// While it changes, its old role lacks it and the new one does not have it yet; and its texts are read again.
+	took := c.takes()
+	serving := func(less float64) float64 {
+		n := map[string]float64{to: x.Serve[to], from: x.Serve[from] - less}
+		return m.served(n[planwire.Read], n[planwire.Write], paces[planwire.Read], paces[planwire.Write])
+	}
+	w.Cost = max(0, serving(0)-serving(1)) * took
+	if all, need := 0.0, x.Need[planwire.Read]; need > 0 && from == planwire.Read {
+		for _, f := range m {
+			all += f.Rate * f.Value
+		}
+		// Reading again is work that others could have used: a second of one reader is worth its part of all value, the
+		// more so the fuller readers are.
+		full := min(1, need/max(usable*(x.Serve[from]-1), 0.1))
+		w.Cost += w.Lost / max(paces[planwire.Read], 1) * all / need * full
+	}
+	gains := w.Gain*min(w.For, longest.Seconds()) + min(0, w.Usual)*took
+	switch {
+	case c.alone(from, to, x) && w.For >= 1:
+		// Nobody serves in that role: all value is lost until somebody does.
+	case w.For < atLeast.Seconds():
+		w.Why = fmt.Sprintf("it has lasted %.0f s only", w.For)
+	case gains <= margin*w.Cost || gains <= 0:
+		w.Why = fmt.Sprintf("%.2f of value is expected, %.2f would be lost", gains, w.Cost)
+	}
+	if w.Why == "" && c.meta.Stopped {
+		w.Why = fmt.Sprintf("changes are stopped by %s: %s", c.meta.Who, c.meta.Why)
+	}
+	if w.Why == "" && c.bounds.Off {
+		w.Why = "the settings only let it be explained"
+	}
+	return w
+}
+
+// alone is whether a role has nobody at all while the other has some.
+func (c *Core) alone(from, to string, x Explained) bool {
+	return x.Serve[to]+x.Coming[to] == 0 && x.Serve[from] > 1
+}
+
+// takes is how long a change takes, by the last ones: from its drain until it is half warm.
+func (c *Core) takes() float64 {
+	took := float64(c.bounds.Drain)/4 + float64(c.bounds.Load)/4
+	if len(c.changes) > 0 {
+		var row []int64
+		for _, x := range c.changes {
+			row = append(row, x.took)
+		}
+		slices.Sort(row)
+		took = float64(row[len(row)/2])
+	}
+	return (took + float64(c.bounds.Cold)/2) / 1e9
+}
+
+// changing is how many engines are between two roles.
+func (c *Core) changing() (n int) {
+	for _, id := range c.ids {
+		switch c.boxes[id].State {
+		case Serving, Cold, Aside:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+// best is the engine that leaves a role at the least loss: of kept texts first, then of what is open.
+func (c *Core) best(from string) (best *box, why string) {
+	bars := map[string]int{}
+	least := math.Inf(1)
+	for _, id := range c.ids {
+		b := c.boxes[id]
+		if b.Role != from || !b.present {
+			continue
+		}
+		if bar := c.barred(b); bar != "" {
+			bars[bar]++
+			continue
+		}
+		// A hundred tokens for each that is open: about what a half-done answer is worth.
+		if lost := c.lost(b) + 100*float64(b.said.Open+b.said.Held); lost < least {
+			best, least = b, lost
+		}
+	}
+	if best == nil {
+		why = "there is no engine that could change"
+		most := 0
+		for bar, n := range bars {
+			if n > most || n == most && bar < why {
+				why, most = bar, n
+			}
+		}
+	}
+	return best, why
+}
+
+// lost is how many tokens of kept texts go with an engine: those that no other serving reader keeps are read again by
+// each edge's sessions, the rest costs a tenth, as its sessions must move.
+func (c *Core) lost(b *box) float64 {
+	if b.Role != planwire.Read {
+		return 0
+	}
+	lost := 0.1 * b.said.Kept
+	for beginning, tokens := range b.said.Hot {
+		copies := 0
+		for _, id := range c.ids {
+			o := c.boxes[id]
+			if _, ok := o.said.Hot[beginning]; ok && o.Role == planwire.Read && (o.State == Serving || o.State == Cold) {
+				copies++
+			}
+		}
+		if copies == 1 {
+			lost += tokens * float64(max(1, len(c.edges)))
+		}
+	}
+	return lost
+}
+
+// barred says why an engine may not change its role now, or nothing. It is the one gate of all changes, whoever asks.
+func (c *Core) barred(b *box) string {
+	switch {
+	case !b.present:
+		return "it is not listed"
+	case !b.listed.CanChange:
+		return "its kind has no other role"
+	case !b.known:
+		return "it has not said yet what its role is"
+	case b.State != Serving:
+		return "it is " + string(b.State)
+	case !b.listed.Ready:
+		return "discovery drains it"
+	case b.Pinned:
+		return "it is pinned"
+	case c.mute(b):
+		return "nothing was heard of it"
+	case b.rest > 0 && c.now-b.rest < int64(c.bounds.Rest):
+		return fmt.Sprintf("it changed within the last %v", c.bounds.Rest)
+	}
+	all, recent := 0, 0
+	for _, id := range c.ids {
+		if c.boxes[id].present {
+			all++
+		}
+	}
+	for _, at := range c.starts {
+		if c.now-at < int64(time.Minute) {
+			recent++
+		}
+	}
+	other, coming := c.supply(planwire.Other(b.Role))
+	if other+coming > 0 { // where a role has nobody, the budgets of calm times would only keep it so
+		if float64(c.changing()+1) > max(1, c.bounds.Changing*float64(all)) {
+			return "as many engines are changing as may"
+		}
+		if float64(recent+1) > max(2, perMinute*float64(all)) {
+			return "as many changes were begun within a minute as may"
+		}
+	} else if 3*(c.changing()+1) > max(3, all) {
+		return "a third of all engines is changing"
+	}
+	return c.floors(b)
+}
+
+// floors keep each role, and within each zone and cell that has it, from being emptied: some must go on serving, and
+// two thirds of a cell's role are never away together.
+func (c *Core) floors(b *box) string {
+	count := func(in func(o *box) bool) (serve, away int) {
+		for _, id := range c.ids {
+			o := c.boxes[id]
+			if !o.present || !in(o) || o.Role != b.Role {
+				continue
+			}
+			switch {
+			case (o.State == Serving || o.State == Cold) && o.listed.Ready:
+				serve++
+			case o.State != Serving && o.State != Cold:
+				away++
+			}
+		}
+		return serve, away
+	}
+	if serve, _ := count(func(*box) bool { return true }); serve-1 < c.bounds.Floor {
+		return fmt.Sprintf("%d serve in its role, and %d must stay", serve, c.bounds.Floor)
+	}
+	zones, cells := map[string]bool{}, map[string]bool{}
+	for _, id := range c.ids {
+		zones[c.boxes[id].listed.Zone], cells[c.boxes[id].listed.Zone+"/"+c.boxes[id].listed.Cell] = true, true
+	}
+	if serve, _ := count(func(o *box) bool { return o.listed.Zone == b.listed.Zone }); len(zones) > 1 && serve < 2 {
+		return "it is the last of its role in its zone"
+	}
+	serve, away := count(func(o *box) bool { return o.listed.Zone == b.listed.Zone && o.listed.Cell == b.listed.Cell })
+	if len(cells) > 1 && serve < 2 {
+		return "it is the last of its role in its cell"
+	}
+	if 3*(away+1) >= 2*(serve+away) && serve+away > 1 {
+		return "two thirds of its role in its cell would be away"
+	}
+	return ""
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -23,6 +23,7 @@
 	Weight  float64 `json:"weight,omitempty"`
 	State   string  `json:"state"`
 	UpSince int64   `json:"up_since_ms,omitempty"`
+	Epoch   int64   `json:"epoch,omitempty"` // of its role; 0 where it never changes
 }
 
 // The states of an entry; an engine that is gone is not listed.
@@ -75,8 +76,8 @@
 			return list, fmt.Errorf("engines[%d].kind is missing", i)
 		case e.State != Ready && e.State != Draining:
 			return list, fmt.Errorf("engines[%d].state: %q is not %s or %s", i, e.State, Ready, Draining)
-		case e.Weight < 0 || e.UpSince < 0:
-			return list, fmt.Errorf("engines[%d]: weight and up_since_ms must not be negative", i)
+		case e.Weight < 0 || e.UpSince < 0 || e.Epoch < 0:
+			return list, fmt.Errorf("engines[%d]: weight, up_since_ms and epoch must not be negative", i)
 		}
 		seen[e.Engine] = true
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,7 @@
 	Zone          string
 	Chat, Metrics string
 	Roster        string
+	Planner       string // its address; plans take the place of a roster
 	Engines       []roster.Entry
 	Kinds         []EngineKind
 	Routes        []Route
@@ -122,6 +123,9 @@
 		"roster": func() ([]script.Key, func(fault)) {
 			return []script.Key{{Name: "file", To: &d.Roster, Need: true}}, nil
 		},
+		"planner": func() ([]script.Key, func(fault)) {
+			return []script.Key{{Name: "at", To: &d.Planner, Need: true, Address: true}}, nil
+		},
 		"kind": func() ([]script.Key, func(fault)) {
 			k := EngineKind{}
 			return []script.Key{{Name: "name", To: &k.Name, Need: true},
@@ -212,11 +216,14 @@
 	if !reads || !writes {
 		say("kind: there must be one that reads and one that writes")
 	}
-	if d.Roster == "" && len(d.Engines) == 0 {
-		say("roster or engine: one of them is needed")
+	given := 0
+	for _, is := range []bool{d.Roster != "", d.Planner != "", len(d.Engines) > 0} {
+		if is {
+			given++
+		}
 	}
-	if d.Roster != "" && len(d.Engines) > 0 {
-		say("roster and engine: only one of them may be given")
+	if given != 1 {
+		say("roster, planner or engine: one of them is needed, and only one")
 	}
 	if d.Me >= d.Nodes {
 		say("node: number %d must be under nodes, which is %d", d.Me, d.Nodes)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -20,6 +20,7 @@
 	"sandcourse/audit"
 	"sandcourse/chat"
 	proto "sandcourse/engine"
+	"sandcourse/planwire"
 )
 
 // Make says what an engine can do. Zero values are filled in by Start.
@@ -28,6 +29,7 @@
 	Addr         string // to listen on; its port may be 0
 	Seed         uint64
 	Slots, Queue int
+	OtherSlots   int     // in the other role
 	Memory       int     // tokens
 	Pace         float64 // prompt tokens read a second, over all slots
 	TokenTime    time.Duration
@@ -36,6 +38,7 @@
 	ColdShare    float64
 	FallMultiple float64
 	FallWindow   time.Duration
+	Reload       time.Duration // between leaving one role and serving in the other
 }
 
 // Faults are what is wrong with an engine now.
@@ -49,6 +52,10 @@
 	Lie        bool          // reports no load at all, whatever there is
 	SlowAccept time.Duration // before the first byte of an answer
 	FailStatus int           // answers sends with this status and no word why
+	NeverBack  bool          // a change of its role never comes to an end
+	FalseRole  bool          // it claims the role that it is asked for, and goes on in the old one
+	DeafOrders bool          // takes no orders of a planner
+	LieWork    float64       // times the work that it reports; 0 for the truth
 }
 
 // Marks are the repeat marks known to a group of engines.
@@ -78,26 +85,37 @@
 	log   *audit.Log
 	marks *Marks
 
-	mu       sync.Mutex
-	server   *http.Server
-	addr     string
-	up       bool
-	fallen   bool
-	draining bool
-	began    time.Time // of this life, if it counts as cold
-	faults   Faults
-	slots    chan struct{}
-	waiting  int
-	toRead   int
-	open     int
-	used     int
-	kept     map[uint64]int
-	states   map[string]state
-	dropped  map[string]time.Time // inferences let go of before their read ended
-	recent   []time.Time
-	life     context.Context
-	end      context.CancelFunc
-	changed  chan struct{} // closed when faults change
+	mu         sync.Mutex
+	server     *http.Server
+	addr       string
+	up         bool
+	fallen     bool
+	draining   bool
+	began      time.Time // of this life, if it counts as cold
+	faults     Faults
+	slots      chan struct{}
+	waiting    int
+	toRead     int
+	open       int
+	used       int
+	kept       map[uint64]int
+	states     map[string]state
+	dropped    map[string]time.Time // inferences let go of before their read ended
+	recent     []time.Time
+	role       string
+	epoch      int64
+	term       int64
+	claims     string // the role that it reports
+	loading    bool
+	leaving    bool // told to drain by a planner
+	lives      int64
+	readTokens float64 // of this life
+	written    float64
+	busy       float64
+	uses       map[uint64]int // of beginnings
+	life       context.Context
+	end        context.CancelFunc
+	changed    chan struct{} // closed when faults change
 }
 
 type state struct {
@@ -116,12 +134,14 @@
 	}
 	m.Addr = cmp.Or(m.Addr, "127.0.0.1:0")
 	m.Slots, m.Queue = cmp.Or(m.Slots, pick(8, 64)), cmp.Or(m.Queue, pick(48, 32))
+	m.OtherSlots = cmp.Or(m.OtherSlots, pick(64, 8))
 	m.Memory = cmp.Or(m.Memory, pick(200_000, 150_000))
 	m.Pace, m.Rate = cmp.Or(m.Pace, 200_000), cmp.Or(m.Rate, 60)
 	m.TokenTime = cmp.Or(m.TokenTime, 5*time.Millisecond)
 	m.Cold, m.ColdShare = cmp.Or(m.Cold, 10*time.Second), cmp.Or(m.ColdShare, 0.3)
 	m.FallMultiple, m.FallWindow = cmp.Or(m.FallMultiple, 3), cmp.Or(m.FallWindow, time.Second)
-	e := &Engine{m: m, log: log, marks: marks, addr: m.Addr, changed: make(chan struct{})}
+	m.Reload = cmp.Or(m.Reload, time.Second)
+	e := &Engine{m: m, role: m.Role, claims: m.Role, epoch: 1, log: log, marks: marks, addr: m.Addr, changed: make(chan struct{})}
 	return e, e.listen(false)
 }
 
@@ -129,7 +149,10 @@
 func (e *Engine) Addr() string { e.mu.Lock(); defer e.mu.Unlock(); return e.addr }
 
 // Role is read or write.
-func (e *Engine) Role() string { return e.m.Role }
+func (e *Engine) Role() string { e.mu.Lock(); defer e.mu.Unlock(); return e.role }
+
+// Epoch is of its role.
+func (e *Engine) Epoch() int64 { e.mu.Lock(); defer e.mu.Unlock(); return e.epoch }
 
 func (e *Engine) listen(cold bool) error {
 	e.mu.Lock()
@@ -146,14 +169,23 @@
 	if cold {
 		e.began = time.Now()
 	}
-	e.slots, e.waiting, e.toRead, e.open, e.used = make(chan struct{}, e.m.Slots), 0, 0, 0, 0
+	e.waiting, e.toRead, e.open, e.used = 0, 0, 0, 0
 	e.kept, e.states, e.dropped, e.recent = map[uint64]int{}, map[string]state{}, map[string]time.Time{}, nil
+	e.readTokens, e.written, e.busy, e.uses = 0, 0, 0, map[uint64]int{}
+	e.loading, e.leaving = false, false
+	if e.role != e.claims && !e.faults.FalseRole { // it ended while it loaded for its next role, and starts in that
+		e.role = e.claims
+		e.m.Slots, e.m.OtherSlots = e.m.OtherSlots, e.m.Slots
+	}
+	e.slots = make(chan struct{}, e.m.Slots)
+	e.lives++
 	e.life, e.end = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+proto.ChatPath, e.serveChat)
 	mux.HandleFunc("GET "+proto.LoadPath, e.serveLoad)
 	mux.HandleFunc("POST "+proto.ReleasePath, e.serveRelease)
 	mux.HandleFunc("POST /sandcourse/fetch", e.serveFetch)
+	mux.HandleFunc("POST "+planwire.RolePath, e.serveRole)
 	mux.HandleFunc("POST /admin/faults", e.serveFaults)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go e.server.Serve(l)
@@ -229,6 +261,12 @@
 // Fallen is whether it was pushed over while cold.
 func (e *Engine) Fallen() bool { e.mu.Lock(); defer e.mu.Unlock(); return e.fallen }
 
+func (e *Engine) seeOf(a ask, s audit.Seen) {
+	if !a.trial {
+		e.see(s)
+	}
+}
+
 func (e *Engine) see(s audit.Seen) {
 	if e.log != nil {
 		s.At, s.Engine = time.Now(), e.addr
@@ -338,6 +376,7 @@
 	request  string
 	mark     string
 	prompt   int
+	trial    bool
 }
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -357,14 +396,18 @@
 		a.prompt += chat.Estimate(m.Content) + 4
 	}
 	writes := a.Transfer.RemotePrefill
-	e.see(audit.Seen{What: audit.Began, Inference: a.name, Request: a.request, Writes: writes})
-	defer e.see(audit.Seen{What: audit.Ended, Inference: a.name, Request: a.request, Writes: writes})
+	// A trial is the planner's question for the role, and no send of an edge.
+	a.trial = strings.HasPrefix(a.name, planwire.Trial)
+	e.seeOf(a, audit.Seen{What: audit.Began, Inference: a.name, Request: a.request, Writes: writes})
+	defer e.seeOf(a, audit.Seen{What: audit.Ended, Inference: a.name, Request: a.request, Writes: writes})
 	if !e.hush(r.Context(), silent) {
 		panic(http.ErrAbortHandler)
 	}
 	e.mu.Lock()
 	e.press()
-	draining := e.draining
+	draining, role := e.draining || e.leaving, e.role
+	epoch, _ := strconv.ParseInt(r.Header.Get(proto.HeaderEpoch), 10, 64)
+	older := epoch > 0 && epoch != e.epoch || e.loading
 	full := e.waiting >= e.m.Queue && len(e.slots) == cap(e.slots)
 	e.mu.Unlock()
 	f, _, _ := e.fault()
@@ -372,6 +415,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch {
+	case older:
+		e.report(w)
+		refuse(w, http.StatusConflict, proto.RefusedEpoch)
 	case f.FailStatus > 0:
 		http.Error(w, "failed", f.FailStatus)
 	case draining:
@@ -380,8 +426,9 @@
 	case full:
 		e.report(w)
 		refuse(w, http.StatusTooManyRequests, proto.RefusedFull)
-	case writes != (e.m.Role == "write"):
-		http.Error(w, "not this engine's role", http.StatusBadRequest)
+	case writes != (role == "write"):
+		e.report(w)
+		refuse(w, http.StatusConflict, proto.RefusedRole)
 	case writes:
 		e.write(w, r, a)
 	default:
@@ -450,6 +497,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer free()
+	begun := time.Now()
 	e.mu.Lock()
 	pace := e.m.Pace / float64(e.m.Slots) * e.part()
 	life := e.life
@@ -466,12 +514,17 @@
 	for i, h := range hashes {
 		e.kept[h] = tokens[i]
 	}
+	e.readTokens += float64(a.prompt - kept)
+	e.busy += time.Since(begun).Seconds() / float64(e.m.Slots)
+	if len(hashes) > 0 {
+		e.uses[hashes[0]]++
+	}
 	if len(e.kept) > 20_000 {
 		clear(e.kept)
 	}
 	key := a.name + "/" + a.send
 	_, gone := e.dropped[key]
-	if !gone {
+	if !gone && !a.trial {
 		e.states[key] = state{a.prompt, time.Now()}
 		e.used += a.prompt
 		e.see(audit.Seen{What: audit.Holds, Inference: a.name, Request: a.request})
@@ -564,6 +617,8 @@
 		flush.Flush()
 		e.mu.Lock()
 		part := e.part()
+		e.written++
+		e.busy += e.m.TokenTime.Seconds() / part / float64(e.m.Slots)
 		e.mu.Unlock()
 		if !e.wait(r.Context(), time.Duration(float64(e.m.TokenTime)/part)) {
 			panic(http.ErrAbortHandler)
@@ -656,14 +711,6 @@
 	w.Write([]byte("{}"))
 }
 
-func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
-	if !e.hush(r.Context(), silent) {
-		panic(http.ErrAbortHandler)
-	}
-	e.report(w)
-	w.Write([]byte("{}"))
-}
-
 // serveFaults takes faults as JSON, for engines in processes of their own.
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
