--- a/prove/roles.go
+++ b/prove/roles.go
@@ -56,6 +56,7 @@
 	never   bool // it does not come back
 	lies    bool // it claims a role and keeps the old one
 	open    int
+	endless bool // what is open does not end
 	life    int64
 	epochs  map[int64]string // the role that it had under each
 }
