--- a/prove/prove_test.go
+++ b/prove/prove_test.go
@@ -17,7 +17,7 @@
 // The small worlds whole, with the verdict and the count of states that they always have.
 func TestSmallWorldsHold(t *testing.T) {
 	var took Cover
-	for _, name := range []string{"one", "two", "limit", "nodes-two"} {
+	for _, name := range []string{"one", "two", "limit", "nodes-two", "roles", "roles-last", "roles-edges"} {
 		w, _ := Find(name)
 		r := Start(w).Go(Bounds{Workers: 4}, nil)
 		tell(t, r)
@@ -53,7 +53,7 @@
 // A copy of a state must go on as the state itself would: the search by copies agrees with the one that plays every
 // path from the start, in every count and in every end.
 func TestCopiesLoseNothing(t *testing.T) {
-	for _, name := range []string{"single", "limit", "nodes-two"} {
+	for _, name := range []string{"single", "limit", "nodes-two", "roles-one"} {
 		w, _ := Find(name)
 		copied := Start(w).Go(Bounds{Workers: 4}, nil)
 		played := Start(w).Go(Bounds{Workers: 4, Replay: true}, nil)
--- a/prove/roles.go
+++ b/prove/roles.go
@@ -209,7 +209,17 @@
 		}
 	}
 	if s.settled() {
-		return nil
+		for _, b := range s.boxes {
+			if s.kept[b.name].State == roles.Aside {
+				add("an operator mends and readmits "+b.name, "leave", func() {
+					b.never, b.lies = false, false
+					if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "readmit", Engine: b.name, Who: "w", Why: "y"}); err == nil {
+						s.queue = append(s.queue, effects...)
+					}
+				})
+			}
+		}
+		return row
 	}
 	if !s.up {
 		add("the planner starts again", "", s.begin)
