--- /dev/null
+++ b/badday/tilt.go
@@ -0,0 +1,221 @@
+package badday
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sandcourse/audit"
+	"sandcourse/load"
+	"sandcourse/plan"
+	"sandcourse/planwire"
+	"sandcourse/roster"
+	"sandcourse/settings"
+	"sandcourse/standin/engine"
+)
+
+// Phase is a time with one mix of work.
+type Phase struct {
+	Name        string
+	Length      time.Duration
+	Rate        float64 // inferences a second
+	Own, Answer int     // words of a prompt that nobody shares, and the most tokens of an answer
+}
+
+// Tilt is a day whose load tilts between reading and writing, with a planner that follows it.
+type Tilt struct {
+	Readers, Writers, Edges int
+	Phases                  []Phase
+	Fixed                   bool // roles stay as they are: the planner only explains
+	Kill                    bool // the planner is killed now and then
+	Seed                    uint64
+	Faults                  func(ctx context.Context, f *Fleet) // beside the tilt; may be nil
+	OnPlan                  func(planwire.Plan)
+}
+
+// Tilted is how it went, by phase.
+type Tilted struct {
+	Phases  []load.Sum
+	Second  []load.Sum // of each phase's second half: after the planner had time to follow
+	Breaks  []audit.Break
+	Held    int
+	Changes int
+	Kills   int
+}
+
+// tiltMake is one stand-in engine: 20,000 prompt tokens a second when it reads, 1,600 tokens when it writes.
+func tiltMake(i, readers int, r settings.Rules) engine.Make {
+	m := engine.Make{Name: fmt.Sprint("e", i), Role: "read", Seed: 7, Slots: 2, OtherSlots: 16, Queue: 64, Pace: 20_000, Rate: 30,
+		TokenTime: 10 * time.Millisecond, Memory: 400_000, Cold: r.Cold, ColdShare: r.ColdShare, FallMultiple: r.FallMultiple,
+		FallWindow: r.FallWindow, Reload: 300 * time.Millisecond}
+	if i >= readers {
+		m.Role, m.Slots, m.OtherSlots = "write", 16, 2
+	}
+	return m
+}
+
+// Planning is the planner's part of a tilted day.
+func (t Tilt) Planning(fleet *Fleet, dir string) *settings.Planning {
+	p := settings.PlanningDefaults()
+	p.Listen, p.Store, p.Roster = "127.0.0.1:0", filepath.Join(dir, "planner.db"), fleet.Path
+	p.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
+	p.Pairs = [][2]string{{"prefill", "decode"}}
+	b := &p.Roles
+	b.Drain, b.Order, b.Load, b.Trial, b.Cold, b.Rest = 4*time.Second, time.Second, 5*time.Second, 2*time.Second, 2*time.Second, 4*time.Second
+	b.Changing, b.PerMinute, b.Floor, b.Off = 0.25, 1, 1, t.Fixed
+	b.ReadPace, b.WritePace = 20_000, 1_600
+	return p
+}
+
+// Run plays it in a folder of its own.
+func (t Tilt) Run(ctx context.Context, dir string, log *zap.Logger, say io.Writer) (res Tilted, err error) {
+	seen := &audit.Log{}
+	d, err := settings.Read("demo.star", []byte(settings.Demo))
+	if err != nil {
+		return res, err
+	}
+	d.Rules.Cold = 2 * time.Second
+	var makes []engine.Make
+	for i := range t.Readers + t.Writers {
+		makes = append(makes, tiltMake(i, t.Readers, d.Rules))
+	}
+	fleet, err := StartFleet(dir, makes, seen)
+	if err != nil {
+		return res, err
+	}
+	defer fleet.Stop()
+	var mu sync.Mutex
+	published := func(p planwire.Plan) {
+		at := time.Now()
+		ready := map[string]bool{}
+		for _, e := range p.Engines {
+			ready[e.Engine] = e.State == roster.Ready
+		}
+		for _, e := range fleet.Engines {
+			seen.Tell(audit.Told{At: at, Engine: e.Addr(), Ready: ready[e.Addr()]})
+		}
+		if t.OnPlan != nil {
+			t.OnPlan(p)
+		}
+	}
+	planning := t.Planning(fleet, dir)
+	start := func() (*plan.Planner, error) {
+		p := plan.New(planning, log)
+		p.OnPublish = published
+		return p, p.Start()
+	}
+	planner, err := start()
+	if err != nil {
+		return res, err
+	}
+	planning.Listen = planner.Addr() // the same over restarts
+	fmt.Fprintf(say, "the planner is at %s: look with sandcourse roles --planner %s show, and explain\n", planner.Addr(), planner.Addr())
+	defer func() { mu.Lock(); planner.Stop(); mu.Unlock() }()
+	base := *d
+	base.Roster, base.Engines, base.Planner = "", nil, planner.Addr()
+	edges, err := StartEdges(t.Edges, base, log, seen, t.Seed)
+	if err != nil {
+		return res, err
+	}
+	defer edges.Stop()
+	if err := settle(ctx, edges); err != nil {
+		return res, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var all sync.WaitGroup
+	if t.Kill {
+		all.Go(func() {
+			for n := 1; ; n++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(3*time.Second + time.Duration(n%3)*700*time.Millisecond):
+				}
+				mu.Lock()
+				planner.Stop()
+				mu.Unlock()
+				time.Sleep(400 * time.Millisecond)
+				for try := 0; ; try++ {
+					p, err := start()
+					if err == nil {
+						mu.Lock()
+						planner = p
+						mu.Unlock()
+						break
+					}
+					if try == 50 {
+						fmt.Fprintln(say, "the planner does not start again:", err)
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+				res.Kills++
+			}
+		})
+	}
+	if t.Faults != nil {
+		all.Go(func() { t.Faults(ctx, fleet) })
+	}
+	routes := []load.Route{}
+	for _, r := range d.Routes {
+		routes = append(routes, load.Route{Name: r.Name, Share: 1, Value: r.Value, Retriable: r.Effect == "retriable", Target: r.FirstToken,
+			GiveUp: r.Timeout})
+	}
+	for i, ph := range t.Phases {
+		fmt.Fprintf(say, "%s: %.0f inferences a second for %v, prompts of %d own words, answers of up to %d tokens\n", ph.Name, ph.Rate,
+			ph.Length, ph.Own, ph.Answer)
+		mine := []load.Route{}
+		for _, r := range routes {
+			r.Most = ph.Answer
+			mine = append(mine, r)
+		}
+		begun := time.Now()
+		load.Traffic{Edges: edges.Addrs, Routes: mine, Rate: ph.Rate, Length: ph.Length, Seed: t.Seed*100 + uint64(i), Beginnings: 6, Words: 100,
+			Own: ph.Own, Turns: 2, Retries: 1, Log: seen}.Run(ctx)
+		var calls, second []audit.Call
+		for _, c := range seen.Calls() {
+			if c.Sent.After(begun) {
+				calls = append(calls, c)
+				if c.Sent.After(begun.Add(ph.Length / 2)) {
+					second = append(second, c)
+				}
+			}
+		}
+		res.Phases, res.Second = append(res.Phases, load.Add(calls, mine)), append(res.Second, load.Add(second, mine))
+		readers, writers := 0, 0
+		for _, e := range fleet.Engines {
+			if e.Role() == "read" {
+				readers++
+			} else {
+				writers++
+			}
+		}
+		s, h := res.Phases[i], res.Second[i]
+		fmt.Fprintf(say, "  value in time %.3f, in the second half %.3f; now %d read and %d write\n", s.InTime/max(s.Offered, 1),
+			h.InTime/max(h.Offered, 1), readers, writers)
+	}
+	cancel()
+	all.Wait()
+	for range 60 {
+		res.Held = 0
+		for _, e := range fleet.Engines {
+			res.Held += e.Held()
+		}
+		if h := edges.Holding(context.Background()); res.Held == 0 && h.Inferences == 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, e := range fleet.Engines {
+		res.Changes += int(e.Epoch()) - 1
+	}
+	rules := Rules(&base)
+	res.Breaks = seen.Judge(rules, time.Now())
+	return res, nil
+}
--- a/cmd/sandcourse/serve.go
+++ b/cmd/sandcourse/serve.go
@@ -22,8 +22,12 @@
 func demoCommand() *cobra.Command {
 	var addr string
 	var readers, writers int
+	var tilt tiltOptions
 	c := &cobra.Command{Use: "demo", Short: "Run an edge and stand-in engines in one process", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if tilt.on {
+				return runTilt(c, tilt, readers+1, writers+1)
+			}
 			dir, err := os.MkdirTemp("", "sandcourse-demo-")
 			if err != nil {
 				return err
@@ -64,6 +68,12 @@
 	c.Flags().StringVar(&addr, "chat", "127.0.0.1:8080", "address to take chat calls on")
 	c.Flags().IntVar(&readers, "readers", 3, "stand-in readers")
 	c.Flags().IntVar(&writers, "writers", 3, "stand-in writers")
+	c.Flags().BoolVar(&tilt.on, "tilt", false, "load that tilts between reading and writing, and a planner that follows (a minute)")
+	c.Flags().BoolVar(&tilt.fixed, "fixed", false, "with --tilt: roles stay as they are")
+	c.Flags().BoolVar(&tilt.kill, "kill", false, "with --tilt: the planner is killed every few seconds")
+	c.Flags().DurationVar(&tilt.phase, "phase", 20*time.Second, "with --tilt: the length of each of its three phases")
+	c.Flags().Float64Var(&tilt.rate, "rate", 30, "with --tilt: inferences a second")
+	c.Flags().Uint64Var(&tilt.seed, "seed", 1, "with --tilt: seed of the traffic")
 	return c
 }
 
--- a/load/traffic.go
+++ b/load/traffic.go
@@ -41,6 +41,7 @@
 	Seed       uint64
 	Beginnings int
 	Words      int // of a shared beginning
+	Own        int // words of what a user adds; 0 for 20 to 80
 	Turns      int // of a session
 	Retries    int
 	Leave      float64 // share of tries whose client leaves early
@@ -99,7 +100,11 @@
 				messages: []Line{{"system", text(beginning, t.Words)}}}
 			sessions = append(sessions, s)
 		}
-		s.messages = append(slices.Clip(s.messages), Line{"user", text(2_000_000+n, 20+rng.IntN(60))})
+		own := t.Own
+		if own == 0 {
+			own = 20 + rng.IntN(60)
+		}
+		s.messages = append(slices.Clip(s.messages), Line{"user", text(2_000_000+n, own)})
 		ask := Ask{Route: route.Name, Session: s.name, Request: fmt.Sprintf("r%d-%d", t.Seed, n), Messages: s.messages,
 			Most: route.Most, GiveUp: route.GiveUp, Whole: rng.Float64() < 0.1}
 		if rng.Float64() < t.Leave {
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -302,16 +302,7 @@
 
 // whom notes which engines to ask, and which of them often.
 func (p *Planner) whom() {
-	var all, urgent []string
-	for _, s := range p.core.Show() {
-		if !s.Listed {
-			continue
-		}
-		all = append(all, s.Engine)
-		if s.State != roles.Serving && s.State != roles.Cold && s.State != roles.Aside {
-			urgent = append(urgent, s.Engine)
-		}
-	}
+	all, urgent := p.core.Asked()
 	p.mu.Lock()
 	p.engines, p.urgent = all, urgent
 	p.mu.Unlock()
@@ -631,10 +622,8 @@
 
 func (m meters) see(c *roles.Core) {
 	m.engines.Reset()
-	for _, s := range c.Show() {
-		if s.Listed {
-			m.engines.WithLabelValues(s.Role, string(s.State)).Inc()
-		}
+	for as, n := range c.Count() {
+		m.engines.WithLabelValues(as[0], as[1]).Set(float64(n))
 	}
 	for role, need := range c.Explained().Need {
 		m.need.WithLabelValues(role).Set(need)
--- a/roles/core.go
+++ b/roles/core.go
@@ -21,9 +21,10 @@
 	Rest  time.Duration // between two changes of one engine, and before one set aside is asked again
 	Floor int           // engines that serve in each role, which no change may take
 	// Changing is the share of all engines that may be changing at once; one may always.
-	Changing float64
-	Grace    time.Duration // after the news of a drain, for sends under way
-	Off      bool          // decide, explain, and change nothing
+	Changing  float64
+	PerMinute float64       // of all engines, the share that may begin a change within a minute; two always
+	Grace     time.Duration // after the news of a drain, for sends under way
+	Off       bool          // decide, explain, and change nothing
 	// ReadPace and WritePace are tokens a second of one engine, until they have been measured; 0 if not known.
 	ReadPace, WritePace float64
 	Values              map[string]float64 // of one inference, by model route
@@ -69,6 +70,7 @@
 	known   bool // its role was heard from itself or kept
 	said    planwire.EngineReport
 	saidAt  int64 // 0 for never
+	saidOf  int64 // when the question for it left
 	samples []sample
 	askedAt int64
 	started int64 // when its change began
@@ -184,14 +186,19 @@
 	unread   float64            // tokens read for each prompt token; 0 if not known
 	tokens   map[string]float64 // answer tokens of an inference, by route, last known
 	decideAt int64
-	longing  map[string]int64 // since when a change to a role would gain; 0 for not
+	lags     []int64   // how old the last reports were
+	shares   []float64 // of reading in all work, one a second
+	side     string    // the role that the load tilts to, against its mean
+	sideAt   int64
+	spells   map[string][]int64 // how long the last tilts to each role lasted
+	longing  map[string]int64   // since when a change to a role would gain; 0 for not
 	last     Explained
 }
 
 // New makes a core. Records and meta are what an earlier life kept; nil for a first one.
 func New(bounds Bounds, term, now int64, records []Record, meta Meta) *Core {
 	c := &Core{bounds: bounds, term: term, now: now, start: now, meta: meta, boxes: map[string]*box{}, edges: map[string]*edge{},
-		dirty: map[string]bool{}, paces: map[string]float64{}, tokens: map[string]float64{}, longing: map[string]int64{}}
+		dirty: map[string]bool{}, paces: map[string]float64{}, tokens: map[string]float64{}, longing: map[string]int64{}, spells: map[string][]int64{}}
 	for _, r := range records {
 		// A clock that was set back must not make a step's time endless.
 		r.Since, r.Began = min(r.Since, now), min(r.Began, now)
@@ -324,7 +331,8 @@
 		return
 	}
 	b.measure(r, c.now)
-	b.said, b.saidAt = r, c.now
+	b.said, b.saidAt, b.saidOf = r, c.now, in.AskedAt
+	c.lags = last(c.lags, c.now-in.AskedAt, 64)
 	if !b.listed.CanChange {
 		return
 	}
@@ -409,14 +417,16 @@
 func (c *Core) tick() {
 	for _, id := range c.ids {
 		b := c.boxes[id]
-		if limit := c.limit(b.State); limit > 0 && c.now-b.Since > int64(limit) {
+		// A step's time counts as far as it has been heard of, so that late reports alone end no change; what is not
+		// heard of at all ends after thrice the time.
+		if limit := int64(c.limit(b.State)); limit > 0 && (b.saidOf-b.Since > limit || c.now-b.Since > 3*limit) {
 			switch b.State {
 			case Draining:
-				c.out = append(c.out, Tell{fmt.Sprintf("%s did not empty within %v: it stays in its role", b.Engine, limit)})
+				c.out = append(c.out, Tell{fmt.Sprintf("%s did not empty within %v: it stays in its role", b.Engine, c.limit(b.State))})
 			case Returning:
-				b.trouble = fmt.Sprintf("it did not come back within %v", limit)
+				b.trouble = fmt.Sprintf("it did not come back within %v", c.limit(b.State))
 			case Trying:
-				b.trouble = fmt.Sprintf("its trial did not end within %v", limit)
+				b.trouble = fmt.Sprintf("its trial did not end within %v", c.limit(b.State))
 			}
 			c.happen(b, late)
 		}
--- a/roles/decide.go
+++ b/roles/decide.go
@@ -14,7 +14,9 @@
 type Weighed struct {
 	To     string  `json:"to"`
 	Gain   float64 `json:"gain"`     // value a second, under the mix that arrives now
-	Usual  float64 `json:"usual"`    // the same under the mixes of the last minutes
+	Usual  float64 `json:"usual"`    // the same, on average, under those mixes of the last minutes that lose by it
+	Mean   float64 `json:"mean"`     // the same, on average, under all mixes of the last minutes
+	Left   float64 `json:"left_s"`   // how long the shift is expected to go on
 	Cost   float64 `json:"cost"`     // value lost while the engine changes
 	For    float64 `json:"for_s"`    // how long it would have gained already
 	Engine string  `json:"engine"`   // the best one to change
@@ -65,9 +67,37 @@
 	return row
 }
 
-// usable is how much of its work an engine can be given before queues make first tokens late. Three quarters: at more,
-// a few arrivals together wait longer than their own reading takes.
-const usable = 0.75
+// Asked are the engines to ask for reports, and those of them whose change waits for what they say.
+func (c *Core) Asked() (all, urgent []string) {
+	for _, id := range c.ids {
+		b := c.boxes[id]
+		if !b.present {
+			continue
+		}
+		all = append(all, id)
+		switch b.State {
+		case Serving, Cold, Aside:
+		default:
+			urgent = append(urgent, id)
+		}
+	}
+	return all, urgent
+}
+
+// Count is how many listed engines stand in each role and state.
+func (c *Core) Count() map[[2]string]int {
+	n := map[[2]string]int{}
+	for _, id := range c.ids {
+		if b := c.boxes[id]; b.present {
+			n[[2]string{b.Role, string(b.State)}]++
+		}
+	}
+	return n
+}
+
+// usable is how much of its work an engine can be given before queues make first tokens late. Over nine tenths a few
+// arrivals together wait longer than their own reading takes; at 0.75 changes began where nothing was lost yet.
+const usable = 0.9
 
 // served is the value a second that a mix brings with so many engines in each role: routes of highest value first,
 // each as far as both roles have room.
@@ -88,6 +118,32 @@
 	return value
 }
 
+// all is the value a second that arrives; lost is that which is not in time.
+func (m mix) all() (v float64) {
+	for _, f := range m {
+		v += f.Rate * f.Value
+	}
+	return v
+}
+
+func (m mix) lost() (v float64) {
+	for _, f := range m {
+		v += f.Lost * f.Value
+	}
+	return v
+}
+
+// fresh is how many engines come to a role, or came so late that what is lost now is still counted without them.
+func (c *Core) fresh(role string) (n float64) {
+	for _, id := range c.ids {
+		b := c.boxes[id]
+		if b.present && (b.Next == role || b.Role == role && b.Began > 0 && c.now-b.Began < int64(seen)) {
+			n += cmp.Or(b.listed.Weight, 1)
+		}
+	}
+	return n
+}
+
 // supply counts engines of a role that serve, by weight, and those that are on the way to it. One that says nothing
 // is not counted: what it can do is not known.
 func (c *Core) supply(role string) (serve, coming float64) {
@@ -119,14 +175,19 @@
 const (
 	// A shift is expected to last as long again as it has lasted, at most this: mixes change with matches.
 	longest = 2 * time.Minute
+	// How long it takes until a load that has turned is seen to have: what demand looks back on, and three reports.
+	seen = 13 * time.Second
+	// Of all value, a hundredth is within the error of the estimate.
+	little = 0.01
+	// Of what is lost now, a change may be hoped to bring back this much more: counts of ten seconds are rough.
+	hope = 1.5
 	// Nothing is decided on less than this: three reports.
 	atLeast = 3 * time.Second
 	// What a change is to gain must be worth this many times what it costs: the estimate is rough.
 	margin = 1.5
-	// Mixes of the last two minutes, one every ten seconds: what the load usually is.
-	mixEvery, mixesKept = 10 * time.Second, 12
-	// Of all engines, this share may begin a change within a minute.
-	perMinute = 0.25
+	// Mixes of the last four minutes, one every ten seconds: what the load usually is.
+	// From a minute on they say something of the average.
+	mixEvery, mixesKept, mixesFew = 10 * time.Second, 24, 6
 )
 
 // decide weighs one change in each direction and begins at most one.
@@ -145,6 +206,7 @@
 	if len(m) > 0 && (len(c.history) == 0 || c.now-c.mixAt >= int64(mixEvery)) {
 		c.history, c.mixAt = last(c.history, m, mixesKept), c.now
 	}
+	c.turn(x.Need)
 	for _, to := range []string{planwire.Read, planwire.Write} {
 		x.Weighed = append(x.Weighed, c.weigh(to, m, paces, x))
 	}
@@ -153,8 +215,8 @@
 		if w := &x.Weighed[i]; w.Why == "" {
 			w.Done, w.Why = true, "it is worth its cost"
 			c.change(c.boxes[w.Engine], fmt.Sprintf("%s has work for %.1f engines and %.1f, %s for %.1f and %.1f: %.2f of value a second gained for %.0f s, "+
-				"cost %.2f", w.To, x.Need[w.To], x.Serve[w.To]+x.Coming[w.To], planwire.Other(w.To), x.Need[planwire.Other(w.To)],
-				x.Serve[planwire.Other(w.To)], w.Gain, w.For, w.Cost))
+				"%.0f s more, cost %.2f", w.To, x.Need[w.To], x.Serve[w.To]+x.Coming[w.To], planwire.Other(w.To), x.Need[planwire.Other(w.To)],
+				x.Serve[planwire.Other(w.To)], w.Gain, w.For, w.Left, w.Cost))
 			break
 		}
 	}
@@ -177,7 +239,10 @@
 			return w
 		}
 	} else {
-		w.Gain = value(m, 1) - value(m, 0)
+		// What is reckoned may not be more than what edges lose by their counts: where nothing is lost, nothing is to be
+		// gained, however full a role looks.
+		// Engines that are on their way, or have come since, bring back a part of that already.
+		w.Gain = min(value(m, 1)-value(m, 0), hope*m.lost()-max(0, value(m, 0)-value(m, -c.fresh(to))))
 	}
 	w.Why = ""
 	if w.Gain <= 1e-9 {
@@ -189,9 +254,26 @@
 		c.longing[to] = c.now
 	}
 	w.For = float64(c.now-c.longing[to]) / 1e9
+	turned, away := 0, 0.0
 	for _, h := range c.history {
-		w.Usual += (value(h, 1) - value(h, 0)) / float64(len(c.history))
+		g := value(h, 1) - value(h, 0)
+		w.Mean += g / float64(len(c.history))
+		if g < 0 {
+			w.Usual, turned = w.Usual+g, turned+1
+		}
 	}
+	w.Usual /= float64(max(turned, 1))
+	// How many engines have left the split that would have been best on average, this way: they all have to come back.
+	for ; away < x.Serve[to] && w.Mean < 0; away++ {
+		mean := 0.0
+		for _, h := range c.history {
+			mean += value(h, -away) - value(h, -away-1)
+		}
+		if mean >= 0 {
+			break
+		}
+	}
+	batch := max(1, c.bounds.Changing*(x.Serve[to]+x.Serve[from]))
 	best, why := c.best(from)
 	if best == nil {
 		w.Why = why
@@ -206,21 +288,28 @@
 	}
 	w.Cost = max(0, serving(0)-serving(1)) * took
 	if all, need := 0.0, x.Need[planwire.Read]; need > 0 && from == planwire.Read {
-		for _, f := range m {
-			all += f.Rate * f.Value
-		}
+		all = m.all()
 		// Reading again is work that others could have used: a second of one reader is worth its part of all value, the
 		// more so the fuller readers are.
 		full := min(1, need/max(usable*(x.Serve[from]-1), 0.1))
 		w.Cost += w.Lost / max(paces[planwire.Read], 1) * all / need * full
 	}
-	gains := w.Gain*min(w.For, longest.Seconds()) + min(0, w.Usual)*took
+	// What is left of the shift, less the time until the engine serves; and once the load has turned, what its absence
+	// costs until it is seen and the engine is back.
+	w.Left = c.left(to, w.For)
+	gains := w.Gain*max(0, w.Left-took) + w.Usual*(took*(1+away/batch)+seen.Seconds())
+	// What would have been better under all mixes of the last minutes needs no forecast.
+	if len(c.history) >= mixesFew {
+		if w.Mean > little*m.all() {
+			gains = max(gains, w.Mean*longest.Seconds())
+		}
+	}
 	switch {
 	case c.alone(from, to, x) && w.For >= 1:
 		// Nobody serves in that role: all value is lost until somebody does.
 	case w.For < atLeast.Seconds():
 		w.Why = fmt.Sprintf("it has lasted %.0f s only", w.For)
-	case gains <= margin*w.Cost || gains <= 0:
+	case gains <= margin*w.Cost || gains <= little*m.all():
 		w.Why = fmt.Sprintf("%.2f of value is expected, %.2f would be lost", gains, w.Cost)
 	}
 	if w.Why == "" && c.meta.Stopped {
@@ -232,6 +321,53 @@
 	return w
 }
 
+// turn notes when the load tilts to the other side of what it was on average, and how long each side lasted.
+func (c *Core) turn(need map[string]float64) {
+	all := need[planwire.Read] + need[planwire.Write]
+	if all == 0 {
+		return
+	}
+	share := need[planwire.Read] / all
+	c.shares = last(c.shares, share, 240) // four minutes of seconds
+	mean := 0.0
+	for _, s := range c.shares {
+		mean += s / float64(len(c.shares))
+	}
+	side := c.side
+	// A twentieth: less is noise of counts.
+	if share > mean+0.05 {
+		side = planwire.Read
+	} else if share < mean-0.05 {
+		side = planwire.Write
+	}
+	if side == c.side {
+		return
+	}
+	if c.side != "" && c.sideAt > 0 {
+		c.spells[c.side] = last(c.spells[c.side], c.now-c.sideAt, 6)
+	}
+	c.side, c.sideAt = side, c.now
+}
+
+// left is how long a shift to a role is expected to go on: as long as earlier ones that had lasted as long by then, or
+// as long again as it has lasted, if there was none.
+func (c *Core) left(to string, longed float64) float64 {
+	if c.side != to {
+		return min(longed, longest.Seconds())
+	}
+	since := c.now - c.sideAt
+	sum, n := 0.0, 0
+	for _, d := range c.spells[to] {
+		if d > since {
+			sum, n = sum+float64(d-since)/1e9, n+1
+		}
+	}
+	if n > 0 {
+		return min(sum/float64(n), longest.Seconds())
+	}
+	return min(float64(since)/1e9, longest.Seconds())
+}
+
 // alone is whether a role has nobody at all while the other has some.
 func (c *Core) alone(from, to string, x Explained) bool {
 	return x.Serve[to]+x.Coming[to] == 0 && x.Serve[from] > 1
@@ -239,7 +375,7 @@
 
 // takes is how long a change takes, by the last ones: from its drain until it is half warm.
 func (c *Core) takes() float64 {
-	took := float64(c.bounds.Drain)/4 + float64(c.bounds.Load)/4
+	took := float64(c.bounds.Drain)/4 + float64(c.bounds.Load)/2
 	if len(c.changes) > 0 {
 		var row []int64
 		for _, x := range c.changes {
@@ -315,6 +451,19 @@
 	return lost
 }
 
+// lagMost is how old reports may be: each of a change's five steps waits for one.
+const lagMost = int64(3 * time.Second)
+
+// lag is how old the middle one of the last reports was when it came.
+func (c *Core) lag() int64 {
+	if len(c.lags) == 0 {
+		return 0
+	}
+	row := slices.Clone(c.lags)
+	slices.Sort(row)
+	return row[len(row)/2]
+}
+
 // barred says why an engine may not change its role now, or nothing. It is the one gate of all changes, whoever asks.
 func (c *Core) barred(b *box) string {
 	switch {
@@ -332,6 +481,8 @@
 		return "it is pinned"
 	case c.mute(b):
 		return "nothing was heard of it"
+	case c.lag() > lagMost:
+		return fmt.Sprintf("reports are %v old: a change could not be followed", time.Duration(c.lag()).Round(100*time.Millisecond))
 	case b.rest > 0 && c.now-b.rest < int64(c.bounds.Rest):
 		return fmt.Sprintf("it changed within the last %v", c.bounds.Rest)
 	}
@@ -351,7 +502,7 @@
 		if float64(c.changing()+1) > max(1, c.bounds.Changing*float64(all)) {
 			return "as many engines are changing as may"
 		}
-		if float64(recent+1) > max(2, perMinute*float64(all)) {
+		if float64(recent+1) > max(2, c.bounds.PerMinute*float64(all)) {
 			return "as many changes were begun within a minute as may"
 		}
 	} else if 3*(c.changing()+1) > max(3, all) {
--- a/roles/demand.go
+++ b/roles/demand.go
@@ -96,6 +96,7 @@
 	Reads  float64 `json:"read_tokens"`  // work of one at a reader
 	Writes float64 `json:"write_tokens"` // and at a writer
 	Value  float64 `json:"value"`
+	Lost   float64 `json:"lost"` // inferences a second that are shed, or whose first token comes late
 }
 
 // mix is all of them, by route.
@@ -104,7 +105,7 @@
 // demand adds up what arrives. Edges that are not heard are taken to see as much as the others do on average, and no
 // edge counts for more than four times the middle one: a report may be wrong.
 func (c *Core) demand() (m mix, heard, known int) {
-	type sum struct{ arrived, prompt, ended, answer float64 }
+	type sum struct{ arrived, prompt, ended, answer, lost float64 }
 	rates := map[string][]float64{}
 	sums := map[string]*sum{}
 	begun, rows := 0.0, 0 // prompt tokens a second whose first token came
@@ -130,6 +131,7 @@
 				}
 				s := sums[t.Route]
 				s.arrived, s.prompt, s.ended, s.answer = s.arrived+t.Arrived, s.prompt+t.Prompt, s.ended+t.Ended, s.answer+t.Answer
+				s.lost += t.Shed + max(0, t.Began-t.InTime)
 				read += t.BegunFor
 			}
 		}
@@ -166,6 +168,7 @@
 			f.Rate += min(r, cap)
 		}
 		f.Rate *= float64(known) / float64(max(heard, 1))
+		f.Lost = f.Rate * min(1, s.lost/max(s.arrived, 1))
 		f.Reads, f.Writes = s.prompt/max(s.arrived, 1)*cmp.Or(c.unread, 1), cmp.Or(c.tokens[route], 64)
 		if f.Rate > 0 {
 			m = append(m, f)
--- a/settings/planner.go
+++ b/settings/planner.go
@@ -39,7 +39,7 @@
 // PlanningDefaults are those of a script that names only its files and kinds.
 func PlanningDefaults() *Planning {
 	return &Planning{Listen: "127.0.0.1:9090", Store: "planner.db", Roles: roles.Bounds{Drain: 20 * time.Second, Order: 3 * time.Second,
-		Load: 2 * time.Minute, Trial: 5 * time.Second, Cold: 12 * time.Second, Rest: 30 * time.Second, Floor: 1, Changing: 0.1,
+		Load: 2 * time.Minute, Trial: 5 * time.Second, Cold: 12 * time.Second, Rest: 30 * time.Second, Floor: 1, Changing: 0.1, PerMinute: 0.25,
 		Grace: 250 * time.Millisecond, Values: map[string]float64{}}}
 }
 
@@ -81,6 +81,7 @@
 				{Name: "load_time", To: &r.Load, Min: 0.1, Max: 7200}, {Name: "trial_time", To: &r.Trial, Min: 0.1, Max: 600},
 				{Name: "cold", To: &r.Cold, Max: 600}, {Name: "rest", To: &r.Rest, Min: 0.1, Max: 86400},
 				{Name: "floor", To: &r.Floor, Min: 1, Max: 10000}, {Name: "share", To: &r.Changing, Min: 0.001, Max: 0.5},
+				{Name: "per_minute", To: &r.PerMinute, Min: 0.001, Max: 10},
 				{Name: "drain_grace", To: &r.Grace, Min: 0.05, Max: 60}, {Name: "read_pace", To: &r.ReadPace, Max: 1e9},
 				{Name: "write_pace", To: &r.WritePace, Max: 1e9}, {Name: "explain_only", To: &explain}}, func(fault) { r.Off = explain }
 		},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -649,7 +649,11 @@
 		x ^= hashes[len(hashes)-1]
 	}
 	var row []string
-	for range max(1, min(a.Most, int(8+x%25))) {
+	long := int(8 + x%25)
+	if a.Most > 64 { // who asks for much gets much
+		long = a.Most/2 + int(x%uint64(a.Most/2))
+	}
+	for range max(1, min(a.Most, long)) {
 		x = x*6364136223846793005 + 1442695040888963407
 		row = append(row, words[x>>33%uint64(len(words))]+" ")
 	}
