--- a/cmd/sandcourse/sweep.go
+++ b/cmd/sandcourse/sweep.go
@@ -39,6 +39,7 @@
 			base := sway.Day{Engines: 40, Readers: 20, Cells: 4, Edges: 6, Length: 20 * time.Minute, Period: 10 * time.Minute, Depth: 0.8, Square: true,
 				Load: 0.85, Reload: 5 * time.Second, Cold: 10 * time.Second, Drain: 4 * time.Second}
 			var points []*point
+			var days []todo
 			add := func(factor, level string, at float64, change func(*sway.Day)) {
 				points = append(points, &point{factor: factor, level: level, at: at, arms: map[string][]sway.Result{}})
 				p := points[len(points)-1]
@@ -74,7 +75,7 @@
 			for _, part := range []float64{0, 0.33, 0.6} {
 				add("reports missing, share", fmt.Sprint(part), part, func(d *sway.Day) { d.Missing = part })
 			}
-			runDays()
+			runDays(days)
 			if err := os.MkdirAll(out, 0o755); err != nil {
 				return err
 			}
@@ -105,10 +106,8 @@
 	d    sway.Day
 }
 
-var days []todo
-
 // runDays plays all on all cores; each day is deterministic by itself.
-func runDays() {
+func runDays(days []todo) {
 	var all sync.WaitGroup
 	room := make(chan struct{}, runtime.NumCPU())
 	for _, t := range days {
--- /dev/null
+++ b/plan/bench_test.go
@@ -0,0 +1,129 @@
+package plan
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sandcourse/follow"
+	"sandcourse/planwire"
+	"sandcourse/roles"
+	"sandcourse/roster"
+	"sandcourse/settings"
+	"sandcourse/standin/engine"
+)
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// 300 edges follow one planner of 300 engines, all in one process on loopback: how long a plan takes to reach them,
+// and how long a planner that was killed and started needs until all follow it again.
+func BenchmarkPlanTo300Edges(b *testing.B) {
+	const engines, edges = 300, 300
+	list := roster.List{Revision: 1}
+	for i := range engines {
+		m := engine.Make{Name: fmt.Sprint("e", i), Role: "read"}
+		kind := "prefill"
+		if i >= engines/2 {
+			m.Role, kind = "write", "decode"
+		}
+		e, err := engine.Start(m, nil, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer e.Stop()
+		list.Engines = append(list.Engines, roster.Entry{Engine: e.Addr(), Kind: kind, Weight: 1, State: roster.Ready})
+	}
+	dir := b.TempDir()
+	d := settings.PlanningDefaults()
+	d.Listen, d.Store, d.Roster = "127.0.0.1:0", filepath.Join(dir, "p.db"), filepath.Join(dir, "roster.json")
+	d.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
+	d.Pairs = [][2]string{{"prefill", "decode"}}
+	roster.Write(d.Roster, list)
+	p := New(d, zap.NewNop())
+	if err := p.Start(); err != nil {
+		b.Fatal(err)
+	}
+	d.Listen = p.Addr()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	got := make([]int64, edges) // revision each follows
+	at := make([]time.Time, edges)
+	for i := range edges {
+		go follow.Planner{Addr: p.Addr(), Report: func(context.Context) (planwire.EdgeReport, error) {
+			return planwire.EdgeReport{Edge: fmt.Sprint("edge", i), Life: 1, Routes: []planwire.RouteCount{{Route: "a"}, {Route: "b"}}}, nil
+		}}.Run(ctx, func(l roster.List) {
+			mu.Lock()
+			got[i], at[i] = l.Revision, time.Now()
+			mu.Unlock()
+		}, func(error) {})
+	}
+	all := func(over int64) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !slices.ContainsFunc(got, func(r int64) bool { return r <= over })
+	}
+	wait := func(over int64) {
+		for end := time.Now().Add(20 * time.Second); !all(over); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				b.Fatal("some edges do not hear of the plan")
+			}
+		}
+	}
+	wait(0)
+	time.Sleep(2 * time.Second)
+	// At rest: reports of all engines and edges, nothing changes.
+	before, rest := cpu(), time.Now()
+	time.Sleep(5 * time.Second)
+	busy := float64(cpu()-before) / float64(time.Since(rest)) * 100
+	var took []time.Duration
+	b.ResetTimer()
+	for n := range b.N {
+		mu.Lock()
+		last := slices.Max(got)
+		mu.Unlock()
+		list.Engines[n%engines].Weight += 0.01
+		begun := time.Now()
+		p.put(func() { p.step(roles.Listed{Boxes: p.boxes(list)}) })
+		wait(last)
+		mu.Lock()
+		for _, t := range at {
+			took = append(took, t.Sub(begun))
+		}
+		mu.Unlock()
+	}
+	b.StopTimer()
+	slices.Sort(took)
+	b.ReportMetric(busy, "cpu%-all-at-rest")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "ms-p50")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "ms-p99")
+	mu.Lock()
+	last := slices.Max(got)
+	mu.Unlock()
+	p.Stop()
+	begun := time.Now()
+	p = New(d, zap.NewNop())
+	if err := p.Start(); err != nil {
+		b.Fatal(err)
+	}
+	wait(last)
+	b.ReportMetric(float64(time.Since(begun).Milliseconds()), "ms-until-all-follow-again")
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapAlloc)/1e6, "MB-all")
+	cancel()
+	p.Stop()
+}
