roles: rests and budgets outlive a restart of the planner; refused calls count as demand

A planner killed again and again forgot its budget of changes and each engine's rest. Calls that a full node refuses before they are inferences were no demand.

--- a/cmd/sandcourse/roles.go
+++ b/cmd/sandcourse/roles.go
@@ -160,8 +160,8 @@
 		if engine == "" {
 			engine = "no engine"
 		}
-		fmt.Fprintf(w, "to %s, %s: gains %.2f of value a second for %.0f s already (%.2f under the usual mix), costs %.2f: %s\n", x.To,
-			engine, x.Gain, x.For, x.Usual, x.Cost, x.Why)
+		fmt.Fprintf(w, "to %s, %s: gains %.2f of value a second, for %.0f s already and perhaps %.0f more; %.2f when the load turns, %.2f on "+
+			"average; costs %.2f: %s\n", x.To, engine, x.Gain, x.For, x.Left, x.Usual, x.Mean, x.Cost, x.Why)
 	}
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -369,7 +369,11 @@
 	w.n.log.Info(f.Final, fields...)
 }
 
-func (w watch) Shed(route string) { w.n.metrics.finals.WithLabelValues(route, "shed").Inc() }
+func (w watch) Shed(route string, prompt int) {
+	w.n.metrics.finals.WithLabelValues(route, "shed").Inc()
+	c := w.n.count(route)
+	c.Arrived, c.Prompt, c.Shed = c.Arrived+1, c.Prompt+float64(prompt), c.Shed+1
+}
 
 func (w watch) First(route string, after time.Duration, prompt int) {
 	w.n.metrics.firsts.WithLabelValues(route).Observe(after.Seconds())
--- a/node/core.go
+++ b/node/core.go
@@ -373,7 +373,7 @@
 
 // shedCall refuses a call that was never an inference.
 func (o *Core) shedCall(c *Client, a *Asked, status int, why string, again time.Duration) {
-	o.watch.Shed(a.Call.Model)
+	o.watch.Shed(a.Call.Model, a.Call.Prompt)
 	o.reply(c, status, a, chat.ErrorBody("overloaded", "shed", "", why+"; a further try is harmless"),
 		shedHeaders(again)...)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,7 +55,7 @@
 	Around(in brain.Input, step func()) // runs a step of the module
 	ModuleFailed(p any, in brain.Input, stack []byte)
 	Final(f Final)
-	Shed(route string) // before it was an inference
+	Shed(route string, prompt int) // before it was an inference
 	First(route string, after time.Duration, prompt int)
 	Refused(why string)
 	Unreleased()
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -342,11 +342,10 @@
 			for engine := range jobs {
 				asked := p.clock()
 				r, err := p.ask(p.ctx, engine)
+				if err != nil {
+					continue // that nothing was heard of it is seen by the time
+				}
 				p.put(func() {
-					if err != nil {
-						p.step(roles.EngineSilent{Engine: engine})
-						return
-					}
 					p.step(roles.EngineSaid{AskedAt: asked, Report: r})
 				})
 			}
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -373,7 +373,7 @@
 	w.s.say("P12 the module fails on %T: %v", in, p)
 }
 func (w watch) Final(node.Final)                 {}
-func (w watch) Shed(string)                      {}
+func (w watch) Shed(string, int)                 {}
 func (w watch) First(string, time.Duration, int) {}
 func (w watch) Refused(why string)               { w.s.say("P12 refused: %s", why) }
 func (w watch) Unreleased()                      {}
--- a/roles/core.go
+++ b/roles/core.go
@@ -97,9 +97,6 @@
 	Report  planwire.EngineReport
 }
 
-// EngineSilent says that an engine was asked and did not answer.
-type EngineSilent struct{ Engine string }
-
 // EdgeSaid is an edge's report.
 type EdgeSaid struct{ Report planwire.EdgeReport }
 
@@ -114,12 +111,11 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (Listed) isInput()       {}
-func (EngineSaid) isInput()   {}
-func (EngineSilent) isInput() {}
-func (EdgeSaid) isInput()     {}
-func (Tried) isInput()        {}
-func (Tick) isInput()         {}
+func (Listed) isInput()     {}
+func (EngineSaid) isInput() {}
+func (EdgeSaid) isInput()   {}
+func (Tried) isInput()      {}
+func (Tick) isInput()       {}
 
 // Effect is one of the types below that say so. They must be carried out in order.
 type Effect interface{ isEffect() }
@@ -203,6 +199,12 @@
 		// A clock that was set back must not make a step's time endless.
 		r.Since, r.Began = min(r.Since, now), min(r.Began, now)
 		c.boxes[r.Engine] = &box{Record: r, known: true, started: r.Since}
+		// Rests and the budget of a minute outlive a restart: a planner that is killed again and again must not begin
+		// more changes than one that is not.
+		if r.Epoch > 1 || r.NextEpoch > 1 {
+			c.boxes[r.Engine].rest = r.Since
+			c.starts = last(c.starts, r.Since, 32)
+		}
 	}
 	c.sort()
 	return c
@@ -220,7 +222,6 @@
 		c.list(in.Boxes)
 	case EngineSaid:
 		c.engineSaid(in)
-	case EngineSilent:
 	case EdgeSaid:
 		c.edgeSaid(in.Report)
 	case Tried:
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"sandcourse/brain"
 	"sandcourse/roster"
@@ -80,3 +81,30 @@
 		t.Errorf("%+v, unknown %v", news, unknown)
 	}
 }
+
+func TestPlannerScript(t *testing.T) {
+	good := `planner(listen = "127.0.0.1:0", store = "s", roster = "r")
+kind(name = "p", role = "read")
+kind(name = "d", role = "write")
+pair(read = "p", write = "d")
+changes(floor = 2, drain_time = "3s")
+`
+	p, err := ReadPlanner("p.star", []byte(good))
+	if err != nil || p.Roles.Floor != 2 || p.Roles.Drain != 3*time.Second || p.Pairs[0] != [2]string{"p", "d"} {
+		t.Errorf("%+v %v", p, err)
+	}
+	for script, want := range map[string]string{
+		good + `pair(read = "p", write = "d")`:                                  "p.star:6: read: \"p\" is in a pair already",
+		good + `pair(read = "d", write = "p")`:                                  "p.star:6: read: \"d\" is no kind named above with the role read",
+		good + `changes(floor = 0)`:                                             "p.star:6: floor: it must be a whole number of 1 to 10000",
+		good + `changes(flor = 1)`:                                              "p.star:6: flor: unknown key of changes",
+		good + `value(route = "a")`:                                             "p.star:6: value needs the key value",
+		`kind(name = "p", role = "read")`:                                       "planner: it is missing",
+		`planner(listen = "nowhere", store = "s", roster = "r")`:                "address:port",
+		`planner(listen = "127.0.0.1:1", store = "s", roster = "r", edges = 1)`: "unknown key of planner",
+	} {
+		if _, err := ReadPlanner("p.star", []byte(script)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, not %q", script, err, want)
+		}
+	}
+}
