--- a/chat/chat.go
+++ b/chat/chat.go
@@ -21,6 +21,8 @@
 	HeaderRepeat  = "Idempotency-Key"
 	HeaderGiveUp  = "X-Give-Up-Ms"
 	HeaderRequest = "X-Request-Id"
+	// HeaderRetry counts a client's retries of one call, as the published OpenAI client libraries send it.
+	HeaderRetry = "X-Stainless-Retry-Count"
 	// HeaderInference goes with every final answer and to engines: the inference's name, unique over nodes
 	// and their restarts.
 	HeaderInference = "X-Sandcourse-Inference"
@@ -52,6 +54,7 @@
 	Stream       bool
 	RepeatMark   string
 	Request      string        // the client's own name for it
+	Retry        int           // how many tries went before; 0 where the client does not say
 	GiveUp       time.Duration // how long the client waits for a first token; 0 where it does not say
 	fields       map[string]json.RawMessage
 }
@@ -145,6 +148,13 @@
 		}
 		c.GiveUp = time.Duration(ms) * time.Millisecond
 	}
+	if text := header.Get(HeaderRetry); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 || n > 1_000_000 {
+			return wrong(HeaderRetry, "it must be 0 to 1000000, not %q", text)
+		}
+		c.Retry = n
+	}
 	return nil
 }
 
--- /dev/null
+++ b/days/lab/retries-slow.star
@@ -0,0 +1,10 @@
+# Trouble: slow, for ten seconds; clients try up to four times more.
+day(length = "90s", rate = 12, retries = 4, seeds = 8)
+trouble(kind = "slow", at = "20s", length = "10s", part = 4)
+
+arm(name = "any retries")
+arm(name = "no retries", retries = 0)
+arm(name = "budget 0.05", retry_share = 0.05)
+arm(name = "budget 0.1", retry_share = 0.1)
+arm(name = "budget 0.2", retry_share = 0.2)
+arm(name = "budget 0.4", retry_share = 0.4)
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -18,6 +18,7 @@
 	HeadTime  time.Duration
 	BodyTime  time.Duration
 	IdleTime  time.Duration // between two calls of one connection
+	Retries   float64       // share of calls that may be retries; 0 for any
 	DrainTime time.Duration // for a client to take the rest of an answer before its connection is closed
 }
 
--- a/node/core.go
+++ b/node/core.go
@@ -41,6 +41,7 @@
 	told   attempt.Told
 	names  []string // of all engines ever listed
 	gate   *limits.Gate
+	again  *limits.Retries
 	pool   *conns.Pool
 	models []byte
 
@@ -139,7 +140,7 @@
 // New makes the core of a node that starts at now. Epoch must differ between lives of a node.
 func New(d *settings.Deployment, seed uint64, epoch, now int64, wire Wire, watch Watch) *Core {
 	o := &Core{d: d, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
-		gate: limits.New(d.Limits), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
+		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, IdleNs: int64(d.Lines.Idle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
 		errands: map[*errand]bool{}, infs: map[int64]*open{}}
@@ -339,6 +340,10 @@
 		o.shedCall(c, a, http.StatusServiceUnavailable, "this node is stopping", 0)
 		return
 	}
+	if !o.again.Take(o.now, a.Call.Retry > 0) {
+		o.shedCall(c, a, http.StatusServiceUnavailable, "more calls are repeated than this node takes", d.RetryAfter)
+		return
+	}
 	switch o.gate.Admit(c.ID, a.Party) {
 	case limits.OwnShare:
 		o.shedCall(c, a, http.StatusTooManyRequests, "you have your share of this node open already", d.RetryAfter)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -199,7 +199,7 @@
 				{Name: "body_time", To: &l.BodyTime, Min: 0.01, Max: 600}, {Name: "idle_time", To: &l.IdleTime, Min: 0.01, Max: 86400},
 				{Name: "drain_time", To: &l.DrainTime, Min: 0.01, Max: 600}, {Name: "body", To: &d.Body, Min: 256, Max: 64 << 20},
 				{Name: "head", To: &d.Head, Min: 256, Max: 1 << 20}, {Name: "client_buffer", To: &d.ClientBuffer, Min: 1024, Max: 64 << 20},
-				{Name: "sends", To: &d.Sends, Min: 1, Max: 20}, {Name: "probes", To: &d.Probes},
+				{Name: "sends", To: &d.Sends, Min: 1, Max: 20}, {Name: "retry_share", To: &l.Retries, Max: 1}, {Name: "probes", To: &d.Probes},
 				{Name: "stall", To: &d.Stall, Min: 0.05, Max: 600}, {Name: "tick", To: &d.Tick, Min: 0.001, Max: 0.1},
 				{Name: "max_retry_after", To: &d.RetryAfter, Max: 600}, {Name: "finish_time", To: &d.Finish, Max: 3600}}, nil
 		},
