--- a/lab/edge.go
+++ b/lab/edge.go
@@ -329,7 +329,7 @@
 	r := w.d.Routes[a.route]
 	e := w.nodes[w.rng.IntN(len(w.nodes))]
 	w.res.Tries++
-	a.id = fmt.Sprint(a.id, "'")
+	a.id = fmt.Sprint(a.id, "'") // each try by a name of its own, as engines know it
 	w.asks[a.id] = a
 	a.node, a.at, a.out, a.began, a.ended = e, w.now, nil, false, false
 	e.clients++
@@ -414,6 +414,8 @@
 	w.res.Finals[final]++
 	w.res.Wasted += a.read
 	a.read = 0
+	c, e := a.core, a.node
+	w.after(way, func() { e.do(func(o *node.Core) { o.ClientGone(c) }) })
 	if final == "completed" {
 		// In time is by the client's first try: a retry's patience began there.
 		if time.Duration(a.firstAt-a.first) <= r.Target {
@@ -423,8 +425,6 @@
 		}
 		return
 	}
-	c, e := a.core, a.node
-	w.after(way, func() { e.do(func(o *node.Core) { o.ClientGone(c) }) })
 	again := final == "shed" || r.Effect == "retriable" && final != "completed"
 	if !again || a.try >= w.d.Retries {
 		return
