--- a/badday/tilt.go
+++ b/badday/tilt.go
@@ -51,9 +51,11 @@
 
 // tiltMake is one stand-in engine: 20,000 prompt tokens a second when it reads, 1,600 tokens when it writes.
 func tiltMake(i, readers int, r settings.Rules) engine.Make {
-	m := engine.Make{Name: fmt.Sprint("e", i), Role: "read", Seed: 7, Slots: 2, OtherSlots: 16, Queue: 64, Pace: 20_000, Rate: 30,
-		TokenTime: 10 * time.Millisecond, Memory: 400_000, Cold: r.Cold, ColdShare: r.ColdShare, FallMultiple: r.FallMultiple,
-		FallWindow: r.FallWindow, Reload: 300 * time.Millisecond}
+	m := engine.Make{Name: fmt.Sprint("e", i), Role: "read", Seed: 7, Slots: 2, OtherSlots: 16, Queue: 64,
+		Pace: 20_000, Rate: 30,
+		TokenTime: 10 * time.Millisecond, Memory: 400_000, Cold: r.Cold, ColdShare: r.ColdShare,
+		FallMultiple: r.FallMultiple,
+		FallWindow:   r.FallWindow, Reload: 300 * time.Millisecond}
 	if i >= readers {
 		m.Role, m.Slots, m.OtherSlots = "write", 16, 2
 	}
@@ -67,14 +69,15 @@
 	p.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
 	p.Pairs = [][2]string{{"prefill", "decode"}}
 	b := &p.Roles
-	b.Drain, b.Order, b.Load, b.Trial, b.Cold, b.Rest = 4*time.Second, time.Second, 5*time.Second, 2*time.Second, 2*time.Second, 4*time.Second
+	b.Drain, b.Order, b.Load, b.Trial, b.Cold, b.Rest = 4*time.Second, time.Second, 5*time.Second,
+		2*time.Second, 2*time.Second, 4*time.Second
 	b.Changing, b.PerMinute, b.Floor, b.Off = 0.25, 1, 1, t.Fixed
 	b.ReadPace, b.WritePace = 20_000, 1_600
 	return p
 }
 
-// recovers is how long after the beginning of a phase nine tenths of the dearest route's calls come in time again, for
-// two windows of four seconds in a row.
+// recovers is how long after the beginning of a phase nine tenths of the dearest route's calls come in time
+// again, for two windows of four seconds in a row.
 func recovers(calls []audit.Call, routes []load.Route, begun time.Time, length time.Duration) time.Duration {
 	dear := routes[0]
 	for _, r := range routes {
@@ -145,7 +148,8 @@
 		return res, err
 	}
 	planning.Listen = planner.Addr() // the same over restarts
-	fmt.Fprintf(say, "the planner is at %s: look with sandcourse roles --planner %s show, and explain\n", planner.Addr(), planner.Addr())
+	fmt.Fprintf(say, "the planner is at %s: look with sandcourse roles --planner %s show, and explain\n",
+		planner.Addr(), planner.Addr())
 	defer func() { mu.Lock(); planner.Stop(); mu.Unlock() }()
 	base := *d
 	base.Roster, base.Engines, base.Planner = "", nil, planner.Addr()
@@ -195,7 +199,8 @@
 	}
 	routes := []load.Route{}
 	for _, r := range d.Routes {
-		routes = append(routes, load.Route{Name: r.Name, Share: 1, Value: r.Value, Retriable: r.Effect == "retriable", Target: r.FirstToken,
+		routes = append(routes, load.Route{Name: r.Name, Share: 1, Value: r.Value,
+			Retriable: r.Effect == "retriable", Target: r.FirstToken,
 			GiveUp: r.Timeout})
 	}
 	for i, ph := range t.Phases {
@@ -207,7 +212,8 @@
 			mine = append(mine, r)
 		}
 		begun := time.Now()
-		load.Traffic{Edges: edges.Addrs, Routes: mine, Rate: ph.Rate, Length: ph.Length, Seed: t.Seed*100 + uint64(i), Beginnings: 6, Words: 100,
+		load.Traffic{Edges: edges.Addrs, Routes: mine, Rate: ph.Rate, Length: ph.Length, Seed: t.Seed*100 +
+			uint64(i), Beginnings: 6, Words: 100,
 			Own: ph.Own, Turns: 2, Retries: 1, Log: seen}.Run(ctx)
 		var calls, second []audit.Call
 		for _, c := range seen.Calls() {
@@ -218,7 +224,8 @@
 				}
 			}
 		}
-		res.Phases, res.Second = append(res.Phases, load.Add(calls, mine)), append(res.Second, load.Add(second, mine))
+		res.Phases, res.Second = append(res.Phases, load.Add(calls, mine)), append(res.Second,
+			load.Add(second, mine))
 		res.Recover = append(res.Recover, recovers(calls, mine, begun, ph.Length))
 		readers, writers := 0, 0
 		for _, e := range fleet.Engines {
--- a/badday/tilt_test.go
+++ b/badday/tilt_test.go
@@ -21,9 +21,9 @@
 	"sandcourse/standin/engine"
 )
 
-// Load tilts to reading and to writing, the planner is killed every nine seconds, an engine crashes and another lies of
-// its work: engines follow the load, the five rules hold, nothing is stranded, and all nodes and engines are of one
-// mind at the end.
+// Load tilts to reading and to writing, the planner is killed every nine seconds, an engine crashes and
+// another lies of its work: engines follow the load, the five rules hold, nothing is stranded, and all nodes
+// and engines are of one mind at the end.
 func TestTiltedDayKeepsTheRules(t *testing.T) {
 	var mu sync.Mutex
 	var newest planwire.Plan
@@ -60,8 +60,9 @@
 	}
 }
 
-// One edge follows the planner, the other a list that never changes again. An engine changes its role under both: what
-// the second sends it by its old list is refused as surely not run, goes elsewhere, and no rule breaks.
+// One edge follows the planner, the other a list that never changes again. An engine changes its role under
+// both: what the second sends it by its old list is refused as surely not run, goes elsewhere, and no rule
+// breaks.
 func TestEdgesOnDifferentPlans(t *testing.T) {
 	dir := t.TempDir()
 	seen := &audit.Log{}
@@ -119,10 +120,12 @@
 	})
 	routes := []load.Route{}
 	for _, r := range d.Routes {
-		routes = append(routes, load.Route{Name: r.Name, Share: 1, Value: r.Value, Retriable: r.Effect == "retriable", Target: r.FirstToken,
+		routes = append(routes, load.Route{Name: r.Name, Share: 1, Value: r.Value,
+			Retriable: r.Effect == "retriable", Target: r.FirstToken,
 			GiveUp: r.Timeout, Most: 24})
 	}
-	load.Traffic{Edges: func() []string { return addrs }, Routes: routes, Rate: 20, Length: 8 * time.Second, Seed: 5, Beginnings: 4, Words: 100,
+	load.Traffic{Edges: func() []string { return addrs }, Routes: routes, Rate: 20, Length: 8 * time.Second,
+		Seed: 5, Beginnings: 4, Words: 100,
 		Turns: 2, Retries: 1, Log: seen}.Run(context.Background())
 	all.Wait()
 	if moved.Role() != "write" {
--- a/cmd/sandcourse/lab.go
+++ b/cmd/sandcourse/lab.go
@@ -21,7 +21,8 @@
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Experiments in simulated time on the real decision code"}
 	var out string
-	compare := &cobra.Command{Use: "compare FILE", Short: "Play an experiment's arms on paired seeds, and compare them", Args: cobra.ExactArgs(1),
+	compare := &cobra.Command{Use: "compare FILE",
+		Short: "Play an experiment's arms on paired seeds, and compare them", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			text, err := script.ReadFile(args[0])
 			if err != nil {
@@ -90,7 +91,8 @@
 			tries, refused, twice, pushed = tries+o.Tries, refused+o.Refused, twice+o.Twice, pushed+o.Pushed
 		}
 		n := len(r.Results)
-		fmt.Fprintf(&b, "| %s | %.3f | %s | %.2f | %s | %d | %d | %d | %d |\n", r.Name, r.Share, diff, r.Worst, back, tries/n, refused/n, twice, pushed)
+		fmt.Fprintf(&b, "| %s | %.3f | %s | %.2f | %s | %d | %d | %d | %d |\n", r.Name, r.Share, diff,
+			r.Worst, back, tries/n, refused/n, twice, pushed)
 	}
 	return b.String()
 }
--- a/cmd/sandcourse/roles.go
+++ b/cmd/sandcourse/roles.go
@@ -49,7 +49,8 @@
 			return nil
 		}}
 	show.Flags().BoolVar(&asJSON, "json", false, "print JSON")
-	explain := &cobra.Command{Use: "explain [ENGINE]", Short: "Say what was weighed last, or why an engine is where it is", Args: cobra.MaximumNArgs(1),
+	explain := &cobra.Command{Use: "explain [ENGINE]",
+		Short: "Say what was weighed last, or why an engine is where it is", Args: cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			s, err := look()
 			if err != nil {
@@ -80,7 +81,8 @@
 		if o.engine {
 			use, args = o.op+" ENGINE --why TEXT", cobra.ExactArgs(1)
 		}
-		sub := &cobra.Command{Use: use, Short: o.about, Args: args, RunE: func(c *cobra.Command, args []string) error {
+		sub := &cobra.Command{Use: use, Short: o.about, Args: args, RunE: func(c *cobra.Command,
+			args []string) error {
 			if len(args) > 0 {
 				order.Engine = args[0]
 			}
@@ -88,7 +90,8 @@
 			if err != nil {
 				return err
 			}
-			answer, err := client.Post("http://"+at+planwire.OrderPath, "application/json", bytes.NewReader(data))
+			answer, err := client.Post("http://"+at+planwire.OrderPath, "application/json",
+				bytes.NewReader(data))
 			if err != nil {
 				return err
 			}
@@ -137,18 +140,21 @@
 		} else if e.State == "aside" {
 			note = e.Trouble
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%d\t%d\t%s\t%s\n", e.Engine, e.Role, e.Epoch, e.State, e.Next, e.Said.Open, e.Said.Held, heard, note)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%d\t%d\t%s\t%s\n", e.Engine, e.Role, e.Epoch, e.State, e.Next,
+			e.Said.Open, e.Said.Held, heard, note)
 	}
 	t.Flush()
 }
 
 func explainDecision(w io.Writer, s plan.Shown) {
 	d := s.Decision
-	fmt.Fprintf(w, "edges heard: %d of %d; engines changing: %d; stopped: %v\n", d.Edges, d.EdgesKnown, d.Changing, d.Stopped)
+	fmt.Fprintf(w, "edges heard: %d of %d; engines changing: %d; stopped: %v\n", d.Edges, d.EdgesKnown,
+		d.Changing, d.Stopped)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "role\tengines kept busy\tserving\ton their way\ttokens/s of one")
 	for _, role := range []string{planwire.Read, planwire.Write} {
-		fmt.Fprintf(t, "%s\t%.2f\t%.1f\t%.1f\t%.0f\n", role, d.Need[role], d.Serve[role], d.Coming[role], d.Pace[role])
+		fmt.Fprintf(t, "%s\t%.2f\t%.1f\t%.1f\t%.0f\n", role, d.Need[role], d.Serve[role], d.Coming[role],
+			d.Pace[role])
 	}
 	fmt.Fprintln(t, "route\tarrivals/s\tread tokens\twritten tokens\tvalue")
 	for _, f := range d.Mix {
@@ -166,8 +172,10 @@
 }
 
 func explainEngine(w io.Writer, e roles.Shown) {
-	fmt.Fprintf(w, "%s: %s of epoch %d, %s since %s\n", e.Engine, e.Role, e.Epoch, e.State, time.Unix(0, e.Since).Format(time.TimeOnly))
-	for _, line := range [][2]string{{"last order or change", e.Why}, {"may not change now", e.Barred}, {"trouble", e.Trouble}} {
+	fmt.Fprintf(w, "%s: %s of epoch %d, %s since %s\n", e.Engine, e.Role, e.Epoch, e.State, time.Unix(0,
+		e.Since).Format(time.TimeOnly))
+	for _, line := range [][2]string{{"last order or change", e.Why}, {"may not change now", e.Barred},
+		{"trouble", e.Trouble}} {
 		if line[1] != "" {
 			fmt.Fprintf(w, "  %s: %s\n", line[0], line[1])
 		}
@@ -175,5 +183,6 @@
 	if e.Next != "" {
 		fmt.Fprintf(w, "  on its way to %s of epoch %d\n", e.Next, e.NextEpoch)
 	}
-	fmt.Fprintf(w, "  it says: %s of epoch %d, open %d, held %d, kept %.0f tokens\n", e.Said.Role, e.Said.Epoch, e.Said.Open, e.Said.Held, e.Said.Kept)
+	fmt.Fprintf(w, "  it says: %s of epoch %d, open %d, held %d, kept %.0f tokens\n", e.Said.Role,
+		e.Said.Epoch, e.Said.Open, e.Said.Held, e.Said.Kept)
 }
--- a/cmd/sandcourse/sweep.go
+++ b/cmd/sandcourse/sweep.go
@@ -33,15 +33,18 @@
 func sweepCommand() *cobra.Command {
 	var out string
 	var seeds int
-	c := &cobra.Command{Use: "sweep", Short: "Play tilting days in simulated time: where does changing roles pay?", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "sweep",
+		Short: "Play tilting days in simulated time: where does changing roles pay?", Args: cobra.NoArgs,
 		Long: "The real roles code on a fluid fleet, against fixed roles and a plain threshold. Writes a table and charts.",
 		RunE: func(c *cobra.Command, _ []string) error {
-			base := sway.Day{Engines: 40, Readers: 20, Cells: 4, Edges: 6, Length: 20 * time.Minute, Period: 10 * time.Minute, Depth: 0.8, Square: true,
+			base := sway.Day{Engines: 40, Readers: 20, Cells: 4, Edges: 6, Length: 20 * time.Minute,
+				Period: 10 * time.Minute, Depth: 0.8, Square: true,
 				Load: 0.85, Reload: 5 * time.Second, Cold: 10 * time.Second, Drain: 4 * time.Second}
 			var points []*point
 			var days []todo
 			add := func(factor, level string, at float64, change func(*sway.Day)) {
-				points = append(points, &point{factor: factor, level: level, at: at, arms: map[string][]sway.Result{}})
+				points = append(points, &point{factor: factor, level: level, at: at,
+					arms: map[string][]sway.Result{}})
 				p := points[len(points)-1]
 				for seed := range seeds {
 					d := base
@@ -55,19 +58,25 @@
 				}
 			}
 			for _, s := range []float64{10, 30, 60, 120, 240, 600, 1200} {
-				add("period of the swing, s", fmt.Sprint(s), s, func(d *sway.Day) { d.Period = time.Duration(s) * time.Second })
+				add("period of the swing, s", fmt.Sprint(s), s,
+					func(d *sway.Day) { d.Period = time.Duration(s) * time.Second })
 			}
 			for _, depth := range []float64{0.1, 0.3, 0.5, 0.8, 1} {
 				add("depth of the swing", fmt.Sprint(depth), depth, func(d *sway.Day) { d.Depth = depth })
 			}
 			for _, s := range []float64{1, 5, 15, 40, 90} {
-				add("reload time, s", fmt.Sprint(s), s, func(d *sway.Day) { d.Reload = time.Duration(s) * time.Second })
+				add("reload time, s", fmt.Sprint(s), s,
+					func(d *sway.Day) { d.Reload = time.Duration(s) * time.Second })
 			}
 			for _, s := range []float64{0, 1, 3, 8} {
-				add("lag of reports, s", fmt.Sprint(s), s, func(d *sway.Day) { d.Lag = time.Duration(s) * time.Second })
+				add("lag of reports, s", fmt.Sprint(s), s,
+					func(d *sway.Day) { d.Lag = time.Duration(s) * time.Second })
 			}
 			for _, n := range []int{8, 20, 40, 110, 300} {
-				add("engines", fmt.Sprint(n), float64(n), func(d *sway.Day) { d.Engines, d.Readers, d.Cells = n, n/2, max(1, n/10) })
+				add("engines", fmt.Sprint(n), float64(n), func(d *sway.Day) {
+					d.Engines, d.Readers,
+						d.Cells = n, n/2, max(1, n/10)
+				})
 			}
 			for _, load := range []float64{0.5, 0.7, 0.85, 1, 1.2} {
 				add("load, of the best split", fmt.Sprint(load), load, func(d *sway.Day) { d.Load = load })
@@ -79,7 +88,8 @@
 			if err := os.MkdirAll(out, 0o755); err != nil {
 				return err
 			}
-			if err := os.WriteFile(filepath.Join(out, "roles-sweep.md"), []byte(sweepTable(points, seeds)), 0o644); err != nil {
+			if err := os.WriteFile(filepath.Join(out, "roles-sweep.md"), []byte(sweepTable(points, seeds)),
+				0o644); err != nil {
 				return err
 			}
 			for i := 0; i < len(points); {
@@ -148,11 +158,17 @@
 		if seeds < 2 {
 			dev = 0
 		}
-		m := func(arm string, of func(sway.Result) float64) float64 { return stat.Mean(values(p.arms[arm], of), nil) }
-		fmt.Fprintf(&b, "| %s | %.3f ± %.3f | %.3f | %.3f | %.3f | %.2f | %.2f | %.0f | %.3f |\n", p.level, mean, dev, m("best fixed", value),
-			m("fixed at start", value), m("threshold", value), m("roles", func(r sway.Result) float64 { return r.Worst }),
+		m := func(arm string, of func(sway.Result) float64) float64 {
+			return stat.Mean(values(p.arms[arm],
+				of), nil)
+		}
+		fmt.Fprintf(&b, "| %s | %.3f ± %.3f | %.3f | %.3f | %.3f | %.2f | %.2f | %.0f | %.3f |\n", p.level,
+			mean, dev, m("best fixed", value),
+			m("fixed at start", value), m("threshold", value), m("roles",
+				func(r sway.Result) float64 { return r.Worst }),
 			m("best fixed", func(r sway.Result) float64 { return r.Worst }),
-			m("roles", func(r sway.Result) float64 { return float64(r.Switch) }), m("roles", func(r sway.Result) float64 { return r.Lost }))
+			m("roles", func(r sway.Result) float64 { return float64(r.Switch) }), m("roles",
+				func(r sway.Result) float64 { return r.Lost }))
 	}
 	return b.String()
 }
@@ -166,7 +182,8 @@
 	for _, arm := range armNames {
 		var xy plotter.XYs
 		for _, x := range points {
-			xy = append(xy, plotter.XY{X: x.at, Y: stat.Mean(values(x.arms[arm], func(r sway.Result) float64 { return r.Value }), nil)})
+			xy = append(xy, plotter.XY{X: x.at, Y: stat.Mean(values(x.arms[arm],
+				func(r sway.Result) float64 { return r.Value }), nil)})
 		}
 		rows = append(rows, arm, xy)
 	}
--- a/cmd/sandcourse/tilt.go
+++ b/cmd/sandcourse/tilt.go
@@ -33,33 +33,38 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	was, begun := "", time.Now()
-	t := badday.Tilt{Readers: readers, Writers: writers, Edges: 2, Fixed: o.fixed, Kill: o.kill, Seed: o.seed, Phases: []badday.Phase{
-		{Name: "long prompts", Length: o.phase, Rate: o.rate, Own: 1500, Answer: 24},
-		{Name: "long answers", Length: o.phase, Rate: o.rate, Own: 40, Answer: 200},
-		{Name: "long prompts again", Length: o.phase, Rate: o.rate, Own: 1500, Answer: 24}},
+	t := badday.Tilt{Readers: readers, Writers: writers, Edges: 2, Fixed: o.fixed, Kill: o.kill,
+		Seed: o.seed, Phases: []badday.Phase{
+			{Name: "long prompts", Length: o.phase, Rate: o.rate, Own: 1500, Answer: 24},
+			{Name: "long answers", Length: o.phase, Rate: o.rate, Own: 40, Answer: 200},
+			{Name: "long prompts again", Length: o.phase, Rate: o.rate, Own: 1500, Answer: 24}},
 		OnPlan: func(p planwire.Plan) {
 			count := map[string]int{}
 			for _, e := range p.Engines {
 				count[e.Kind+" "+e.State]++
 			}
-			now := fmt.Sprintf("%d read, %d write, %d drain, %d change", count["prefill ready"], count["decode ready"],
+			now := fmt.Sprintf("%d read, %d write, %d drain, %d change", count["prefill ready"],
+				count["decode ready"],
 				count["prefill draining"]+count["decode draining"], readers+writers-len(p.Engines))
 			if now != was {
 				was = now
-				fmt.Fprintf(c.OutOrStdout(), "  %5.1f s plan %d of term %d: %s\n", time.Since(begun).Seconds(), p.Number, p.Term, now)
+				fmt.Fprintf(c.OutOrStdout(), "  %5.1f s plan %d of term %d: %s\n",
+					time.Since(begun).Seconds(), p.Number, p.Term, now)
 			}
 		}}
 	res, err := t.Run(ctx, dir, zap.NewNop(), c.OutOrStdout())
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.OutOrStdout(), "role changes: %d; planner killed %d times; states left held: %d\n", res.Changes, res.Kills, res.Held)
+	fmt.Fprintf(c.OutOrStdout(), "role changes: %d; planner killed %d times; states left held: %d\n",
+		res.Changes, res.Kills, res.Held)
 	if len(res.Breaks) > 0 {
 		for _, b := range res.Breaks {
 			fmt.Fprintln(c.OutOrStdout(), "BROKEN", b)
 		}
 		return exit(1)
 	}
-	fmt.Fprintln(c.OutOrStdout(), strings.TrimSpace("all five rules kept (simulated: stand-in engines on loopback)"))
+	fmt.Fprintln(c.OutOrStdout(),
+		strings.TrimSpace("all five rules kept (simulated: stand-in engines on loopback)"))
 	return nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,5 +1,5 @@
-// Package follow is an edge's line to the planner: it takes plans from a stream and sends the edge's counts. While the
-// planner is away the last plan stays, and the edge goes on by itself.
+// Package follow is an edge's line to the planner: it takes plans from a stream and sends the edge's counts.
+// While the planner is away the last plan stays, and the edge goes on by itself.
 package follow
 
 import (
@@ -69,7 +69,8 @@
 }
 
 // stream follows one connection until it ends.
-func (p Planner) stream(ctx context.Context, client *http.Client, quiet time.Duration, l *last, take func(roster.List)) error {
+func (p Planner) stream(ctx context.Context, client *http.Client, quiet time.Duration, l *last,
+	take func(roster.List)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(quiet, cancel)
@@ -105,7 +106,8 @@
 		}
 		l.mu.Unlock()
 		if older {
-			return fmt.Errorf("it speaks of term %d number %d, older than what was followed", plan.Term, plan.Number)
+			return fmt.Errorf("it speaks of term %d number %d, older than what was followed", plan.Term,
+				plan.Number)
 		}
 		if newer {
 			take(plan.List(time.Now().UnixMilli()))
@@ -138,7 +140,8 @@
 			continue
 		}
 		once, cancel := context.WithTimeout(ctx, every)
-		r, err := http.NewRequestWithContext(once, http.MethodPost, "http://"+p.Addr+planwire.ReportPath, bytes.NewReader(data))
+		r, err := http.NewRequestWithContext(once, http.MethodPost, "http://"+p.Addr+planwire.ReportPath,
+			bytes.NewReader(data))
 		if err == nil {
 			if answer, err := client.Do(r); err == nil {
 				io.Copy(io.Discard, io.LimitReader(answer.Body, 4096))
--- a/lab/day.go
+++ b/lab/day.go
@@ -1,6 +1,6 @@
-// Package lab emulates the served systems in simulated time: clients, edges that run the real node with its module,
-// limits and connections, and engines with slots, queues, memory, kept beginnings and cold starts. One seed and one
-// owner: a day is the same to the byte whatever else the machine does. It does no I/O.
+// Package lab emulates the served systems in simulated time: clients, edges that run the real node with its
+// module, limits and connections, and engines with slots, queues, memory, kept beginnings and cold starts.
+// One seed and one owner: a day is the same to the byte whatever else the machine does. It does no I/O.
 package lab
 
 import (
@@ -51,9 +51,10 @@
 	Seed                    uint64
 }
 
-// Engine is what each engine can do. The defaults are of the order that published work on disaggregated serving gives
-// for models of some tens of billions of parameters on one box of eight accelerators: 10,000 to 20,000 prompt tokens and
-// some thousand answer tokens a second, 20 to 50 ms a token (DistServe, Zhong et al. 2024; Splitwise, Patel et al. 2024).
+// Engine is what each engine can do. The defaults are of the order that published work on disaggregated
+// serving gives for models of some tens of billions of parameters on one box of eight accelerators: 10,000 to
+// 20,000 prompt tokens and some thousand answer tokens a second, 20 to 50 ms a token (DistServe, Zhong et al.
+// 2024; Splitwise, Patel et al. 2024).
 type Engine struct {
 	ReadSlots, WriteSlots int
 	ReadPace              float64       // prompt tokens a second of one slot
@@ -68,11 +69,15 @@
 
 // Defaults is a day of a small fleet with two routes.
 func Defaults() Day {
-	return Day{Nodes: 4, Readers: 6, Writers: 6, Length: 60 * time.Second, Rate: 40, Beginnings: 20, Shared: 800, Turns: 3, Retries: 2,
+	return Day{Nodes: 4, Readers: 6, Writers: 6, Length: 60 * time.Second, Rate: 40, Beginnings: 20,
+		Shared: 800, Turns: 3, Retries: 2,
 		Routes: []Route{
-			{Name: "clip-summary", Effect: "retriable", Share: 0.6, Value: 1, Target: 1500 * time.Millisecond, Timeout: 6 * time.Second, Prompt: 600, Answer: 80},
-			{Name: "fan-alert", Effect: "non-retriable", Share: 0.4, Value: 5, Target: 800 * time.Millisecond, Timeout: 4 * time.Second, Prompt: 150, Answer: 40}},
-		Engine: Engine{ReadSlots: 2, WriteSlots: 16, ReadPace: 8000, TokenTime: 20 * time.Millisecond, Batch: 1, Queue: 64, Memory: 60_000,
+			{Name: "clip-summary", Effect: "retriable", Share: 0.6, Value: 1,
+				Target: 1500 * time.Millisecond, Timeout: 6 * time.Second, Prompt: 600, Answer: 80},
+			{Name: "fan-alert", Effect: "non-retriable", Share: 0.4, Value: 5,
+				Target: 800 * time.Millisecond, Timeout: 4 * time.Second, Prompt: 150, Answer: 40}},
+		Engine: Engine{ReadSlots: 2, WriteSlots: 16, ReadPace: 8000, TokenTime: 20 * time.Millisecond,
+			Batch: 1, Queue: 64, Memory: 60_000,
 			Move: 200_000, Cold: 10 * time.Second, ColdShare: 0.3}, Seed: 1}
 }
 
@@ -155,7 +160,8 @@
 
 // Run plays a day.
 func Run(d Day) Result {
-	w := &world{d: d, now: beginning, rng: rand.New(rand.NewPCG(d.Seed, 0x1ab)), byName: map[string]*box{}, asks: map[string]*ask{}, burst: 1,
+	w := &world{d: d, now: beginning, rng: rand.New(rand.NewPCG(d.Seed, 0x1ab)), byName: map[string]*box{},
+		asks: map[string]*ask{}, burst: 1,
 		offered: map[string]float64{}, got: map[string]float64{}}
 	w.res.Finals, w.res.Routes = map[string]int{}, map[string]float64{}
 	windows := int(d.Length/window) + 1
--- a/lab/edge.go
+++ b/lab/edge.go
@@ -72,14 +72,17 @@
 func (w *world) build() {
 	d := settings.Defaults()
 	d.Nodes, d.Limits.Retries = w.d.Nodes, w.d.Budget
-	d.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read", Memory: w.d.Engine.Memory}, {Name: "decode", Role: "write", Memory: w.d.Engine.Memory}}
+	d.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read", Memory: w.d.Engine.Memory},
+		{Name: "decode", Role: "write", Memory: w.d.Engine.Memory}}
 	d.Rules.Cold, d.Rules.ColdShare = w.d.Engine.Cold, w.d.Engine.ColdShare
 	for _, r := range w.d.Routes {
-		d.Routes = append(d.Routes, settings.Route{Name: r.Name, Effect: r.Effect, Value: r.Value, FirstToken: r.Target, Timeout: r.Timeout,
+		d.Routes = append(d.Routes, settings.Route{Name: r.Name, Effect: r.Effect, Value: r.Value,
+			FirstToken: r.Target, Timeout: r.Timeout,
 			DedupWindow: 5 * time.Second, DedupGroup: "all"})
 	}
 	for i := range w.d.Readers + w.d.Writers {
-		b := &box{w: w, name: fmt.Sprintf("10.1.%d.%d:%d", i/200, i%200+1, 7000), role: "read", slow: 1, lines: map[*line]bool{}}
+		b := &box{w: w, name: fmt.Sprintf("10.1.%d.%d:%d", i/200, i%200+1, 7000), role: "read", slow: 1,
+			lines: map[*line]bool{}}
 		if i >= w.d.Readers {
 			b.role = "write"
 		}
@@ -105,7 +108,8 @@
 		if b.gone {
 			continue
 		}
-		e := roster.Entry{Engine: b.name, Kind: "prefill", Weight: 1, State: roster.Ready, UpSince: b.began / 1e6}
+		e := roster.Entry{Engine: b.name, Kind: "prefill", Weight: 1, State: roster.Ready,
+			UpSince: b.began / 1e6}
 		if b.role == "write" {
 			e.Kind = "decode"
 		}
@@ -305,7 +309,8 @@
 func (w *world) turn(route int, session, begins string, before float64, left int) {
 	r := w.d.Routes[route]
 	own := max(8, r.Prompt*w.rng.ExpFloat64())
-	a := &ask{w: w, id: fmt.Sprint(session, ".", left), route: route, prompt: math.Round(before + own), begins: begins, session: session, first: w.now,
+	a := &ask{w: w, id: fmt.Sprint(session, ".", left), route: route, prompt: math.Round(before + own),
+		begins: begins, session: session, first: w.now,
 		answer: max(2, math.Round(r.Answer*w.rng.ExpFloat64()))}
 	w.res.Offered += r.Value
 	w.offered[r.Name] += r.Value
@@ -340,8 +345,9 @@
 	if err != nil {
 		panic(err) // of constants
 	}
-	call := &chat.Call{Model: r.Name, Session: a.session, Beginning: a.begins, Prompt: int(a.prompt), BeginningLen: int(w.d.Shared),
-		MaxAnswer: int(a.answer) + 1, Stream: true, Request: a.id, GiveUp: r.Timeout, Retry: a.try}
+	call := &chat.Call{Model: r.Name, Session: a.session, Beginning: a.begins, Prompt: int(a.prompt),
+		BeginningLen: int(w.d.Shared),
+		MaxAnswer:    int(a.answer) + 1, Stream: true, Request: a.id, GiveUp: r.Timeout, Retry: a.try}
 	w.after(way, func() {
 		e.do(func(o *node.Core) {
 			o.ClientOpened(c)
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -117,8 +117,8 @@
 	return &http.Response{StatusCode: status, Status: http.StatusText(status), Header: h}
 }
 
-// press counts a send; a cold engine that gets too many falls over. As the stand-ins do, with what it does when warm
-// reckoned from its slots and the day's mean work.
+// press counts a send; a cold engine that gets too many falls over. As the stand-ins do, with what it does
+// when warm reckoned from its slots and the day's mean work.
 func (b *box) press() {
 	w := b.w
 	b.recent = append(b.recent, w.now)
@@ -239,8 +239,10 @@
 			}
 			b.hold(j)
 			host, port, _ := strings.Cut(b.name, ":")
-			body := fmt.Appendf(nil, `{"usage":{"prompt_tokens_details":{"cached_tokens":%d}},"kv_transfer_params":{"do_remote_prefill":true,`+
-				`"remote_engine_id":%q,"remote_host":%q,"remote_port":%s}}`, int(kept), j.name+"/"+j.send, host, port)
+			body := fmt.Appendf(nil,
+				`{"usage":{"prompt_tokens_details":{"cached_tokens":%d}},"kv_transfer_params":{"do_remote_prefill":true,`+
+					`"remote_engine_id":%q,"remote_host":%q,"remote_port":%s}}`, int(kept), j.name+"/"+j.send,
+				host, port)
 			j.whole(head(http.StatusOK, b.report()), body)
 		})
 	})
@@ -295,7 +297,8 @@
 // stream gives an answer in parts: its first token, then some at a time, at least one each second.
 func (b *box) stream(j *job, given int, done func()) {
 	w := b.w
-	pace := time.Duration(float64(w.d.Engine.TokenTime) * (1 + w.d.Engine.Batch*float64(b.busy)/float64(b.slots())) / b.part())
+	pace := time.Duration(float64(w.d.Engine.TokenTime) * (1 +
+		w.d.Engine.Batch*float64(b.busy)/float64(b.slots())) / b.part())
 	left := int(j.ask.answer) - given
 	if given == 0 {
 		left = 1
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -22,17 +22,20 @@
 	Arms  []Arm
 }
 
-// ReadExperiment runs a script: day, route, trouble, engine, and arms, each of which may set what a day may. The error is
-// of type script.Faults.
+// ReadExperiment runs a script: day, route, trouble, engine, and arms, each of which may set what a day may.
+// The error is of type script.Faults.
 func ReadExperiment(name string, text []byte) (*Experiment, error) {
 	x := &Experiment{Seeds: 5}
 	d := Defaults()
 	var routes []Route
 	type fault = func(key, format string, args ...any)
 	keys := func(d *Day) []script.Key {
-		return []script.Key{{Name: "nodes", To: &d.Nodes, Min: 1, Max: 300}, {Name: "readers", To: &d.Readers, Min: 1, Max: 1000},
-			{Name: "writers", To: &d.Writers, Min: 1, Max: 1000}, {Name: "rate", To: &d.Rate, Min: 0.01, Max: 1e5},
-			{Name: "beginnings", To: &d.Beginnings, Min: 1, Max: 1e6}, {Name: "shared_tokens", To: &d.Shared, Max: 1e6},
+		return []script.Key{{Name: "nodes", To: &d.Nodes, Min: 1, Max: 300},
+			{Name: "readers", To: &d.Readers, Min: 1, Max: 1000},
+			{Name: "writers", To: &d.Writers, Min: 1, Max: 1000},
+			{Name: "rate", To: &d.Rate, Min: 0.01, Max: 1e5},
+			{Name: "beginnings", To: &d.Beginnings, Min: 1, Max: 1e6},
+			{Name: "shared_tokens", To: &d.Shared, Max: 1e6},
 			{Name: "turns", To: &d.Turns, Min: 1, Max: 100}, {Name: "retries", To: &d.Retries, Max: 100},
 			{Name: "retry_share", To: &d.Budget, Max: 1}}
 	}
@@ -44,27 +47,39 @@
 		},
 		"engine": func() ([]script.Key, func(fault)) {
 			e := &d.Engine
-			return []script.Key{{Name: "read_slots", To: &e.ReadSlots, Min: 1, Max: 1000}, {Name: "write_slots", To: &e.WriteSlots, Min: 1, Max: 1000},
-				{Name: "read_pace", To: &e.ReadPace, Min: 1, Max: 1e7}, {Name: "token_time", To: &e.TokenTime, Min: 0.0001, Max: 1},
+			return []script.Key{{Name: "read_slots", To: &e.ReadSlots, Min: 1, Max: 1000},
+				{Name: "write_slots", To: &e.WriteSlots, Min: 1, Max: 1000},
+				{Name: "read_pace", To: &e.ReadPace, Min: 1, Max: 1e7},
+				{Name: "token_time", To: &e.TokenTime, Min: 0.0001, Max: 1},
 				{Name: "batch", To: &e.Batch, Max: 100}, {Name: "queue", To: &e.Queue, Min: 1, Max: 100_000},
-				{Name: "memory", To: &e.Memory, Min: 100, Max: 1e9}, {Name: "move", To: &e.Move, Min: 1, Max: 1e9},
-				{Name: "cold", To: &e.Cold, Max: 600}, {Name: "cold_share", To: &e.ColdShare, Min: 0.01, Max: 1}}, nil
+				{Name: "memory", To: &e.Memory, Min: 100, Max: 1e9},
+				{Name: "move", To: &e.Move, Min: 1, Max: 1e9},
+				{Name: "cold", To: &e.Cold, Max: 600},
+				{Name: "cold_share", To: &e.ColdShare, Min: 0.01, Max: 1}}, nil
 		},
 		"route": func() ([]script.Key, func(fault)) {
-			r := Route{Effect: "retriable", Share: 1, Value: 1, Target: time.Second, Timeout: 5 * time.Second, Prompt: 300, Answer: 60}
-			return []script.Key{{Name: "name", To: &r.Name, Need: true}, {Name: "effect", To: &r.Effect, Words: []string{"retriable", "deduped", "non-retriable"}},
-					{Name: "share", To: &r.Share, Min: 0.0001, Max: 1e6}, {Name: "value", To: &r.Value, Min: 0.001, Max: 1e6},
-					{Name: "first_token_target", To: &r.Target, Min: 0.01, Max: 600}, {Name: "route_timeout", To: &r.Timeout, Min: 0.05, Max: 3600},
-					{Name: "prompt_tokens", To: &r.Prompt, Min: 1, Max: 1e6}, {Name: "answer_tokens", To: &r.Answer, Min: 2, Max: 1e6}},
+			r := Route{Effect: "retriable", Share: 1, Value: 1, Target: time.Second,
+				Timeout: 5 * time.Second, Prompt: 300, Answer: 60}
+			return []script.Key{{Name: "name", To: &r.Name, Need: true},
+					{Name: "effect", To: &r.Effect, Words: []string{"retriable", "deduped", "non-retriable"}},
+					{Name: "share", To: &r.Share, Min: 0.0001, Max: 1e6},
+					{Name: "value", To: &r.Value, Min: 0.001, Max: 1e6},
+					{Name: "first_token_target", To: &r.Target, Min: 0.01, Max: 600},
+					{Name: "route_timeout", To: &r.Timeout, Min: 0.05, Max: 3600},
+					{Name: "prompt_tokens", To: &r.Prompt, Min: 1, Max: 1e6},
+					{Name: "answer_tokens", To: &r.Answer, Min: 2, Max: 1e6}},
 				func(fault) { routes = append(routes, r) }
 		},
 		"trouble": func() ([]script.Key, func(fault)) {
 			t := Trouble{For: 10 * time.Second, Part: 0.25}
-			return []script.Key{{Name: "kind", To: &t.Kind, Words: Kinds, Need: true}, {Name: "at", To: &t.At, Max: 36000},
-					{Name: "length", To: &t.For, Max: 36000}, {Name: "part", To: &t.Part, Max: 1000}, {Name: "role", To: &t.Role, Words: []string{"read", "write"}}},
+			return []script.Key{{Name: "kind", To: &t.Kind, Words: Kinds, Need: true},
+					{Name: "at", To: &t.At, Max: 36000},
+					{Name: "length", To: &t.For, Max: 36000}, {Name: "part", To: &t.Part, Max: 1000},
+					{Name: "role", To: &t.Role, Words: []string{"read", "write"}}},
 				func(fault) { d.Troubles = append(d.Troubles, t) }
 		},
-		// An arm's keys are set once more on a day that is whole: what stands below an arm in the script holds for it too.
+		// An arm's keys are set once more on a day that is whole: what stands below an arm in the script
+		// holds for it too.
 		"arm": func() ([]script.Key, func(fault)) {
 			a := &Arm{}
 			was, set := d, d
@@ -109,14 +124,16 @@
 
 // merge sets on a whole day what an arm changed of the day that it was read on.
 func merge(whole *Day, was, mine Day) {
-	for _, p := range []struct{ to, was, mine *int }{{&whole.Nodes, &was.Nodes, &mine.Nodes}, {&whole.Readers, &was.Readers, &mine.Readers},
+	for _, p := range []struct{ to, was, mine *int }{{&whole.Nodes, &was.Nodes, &mine.Nodes},
+		{&whole.Readers, &was.Readers, &mine.Readers},
 		{&whole.Writers, &was.Writers, &mine.Writers}, {&whole.Beginnings, &was.Beginnings, &mine.Beginnings},
 		{&whole.Turns, &was.Turns, &mine.Turns}, {&whole.Retries, &was.Retries, &mine.Retries}} {
 		if *p.was != *p.mine {
 			*p.to = *p.mine
 		}
 	}
-	for _, p := range []struct{ to, was, mine *float64 }{{&whole.Rate, &was.Rate, &mine.Rate}, {&whole.Shared, &was.Shared, &mine.Shared},
+	for _, p := range []struct{ to, was, mine *float64 }{{&whole.Rate, &was.Rate, &mine.Rate},
+		{&whole.Shared, &was.Shared, &mine.Shared},
 		{&whole.Budget, &was.Budget, &mine.Budget}} {
 		if *p.was != *p.mine {
 			*p.to = *p.mine
--- a/lab/lab_test.go
+++ b/lab/lab_test.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// A fleet with room serves everything; whatever breaks, nothing non-retriable runs twice, every try ends once and no
-// state stays.
+// A fleet with room serves everything; whatever breaks, nothing non-retriable runs twice, every try ends once
+// and no state stays.
 func TestTroublesKeepTheBooks(t *testing.T) {
 	d := Defaults()
 	d.Rate, d.Length = 8, 20*time.Second
@@ -43,7 +43,8 @@
 			ended += n
 		}
 		if r.Twice > 0 || r.Held > 0 || r.Pushed > 0 || ended != r.Tries {
-			t.Errorf("%s: ran twice %d, held %d, pushed over %d, %d of %d tries ended", kind, r.Twice, r.Held, r.Pushed, ended, r.Tries)
+			t.Errorf("%s: ran twice %d, held %d, pushed over %d, %d of %d tries ended", kind, r.Twice,
+				r.Held, r.Pushed, ended, r.Tries)
 		}
 	}
 }
@@ -67,14 +68,16 @@
 trouble(kind = "drain", at = "1s", length = "2s")
 day(rate = 7)
 `))
-	if err != nil || len(x.Arms) != 2 || x.Arms[1].Change.Budget != 0.2 || x.Arms[0].Change.Budget != 0 || x.Arms[1].Change.Rate != 7 ||
+	if err != nil || len(x.Arms) != 2 || x.Arms[1].Change.Budget != 0.2 || x.Arms[0].Change.Budget != 0 ||
+		x.Arms[1].Change.Rate != 7 ||
 		len(x.Arms[0].Change.Troubles) != 1 {
 		t.Errorf("%+v %v", x, err)
 	}
 	for text, want := range map[string]string{`arm(name = "a")
 arm(name = "a")`: "e.star:2: name: arm \"a\" stands twice", `trouble(kind = "rain")`: "must be one of", `day(nodes = 0)`: "e.star:1: nodes",
 		"day(length = \"5s\")\narm(name = \"a\")\ntrouble(kind = \"drain\", at = \"9s\")": "begins 9s into a day of 5s"} {
-		if _, err := ReadExperiment("e.star", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := ReadExperiment("e.star", []byte(text)); err == nil || !strings.Contains(err.Error(),
+			want) {
 			t.Errorf("%s: %v", text, err)
 		}
 	}
--- a/limits/retries.go
+++ b/limits/retries.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// Retries is a node's budget of repeated calls: of all calls of the last ten seconds, so many may be retries. When
-// something breaks, every client that fails comes back, and a fleet near its limits then serves retries of what has
-// failed instead of what could be in time; it stays so after the cause is gone. What is over the budget is refused at
-// once, before the module is asked, which costs nothing.
+// Retries is a node's budget of repeated calls: of all calls of the last ten seconds, so many may be retries.
+// When something breaks, every client that fails comes back, and a fleet near its limits then serves retries
+// of what has failed instead of what could be in time; it stays so after the cause is gone. What is over the
+// budget is refused at once, before the module is asked, which costs nothing.
 //
-// Exceptions: the first three retries of any ten seconds are taken, as a quiet node must not refuse the only one; and a
-// client that does not say that it retries is not seen to.
+// Exceptions: the first three retries of any ten seconds are taken, as a quiet node must not refuse the only
+// one; and a client that does not say that it retries is not seen to.
 type Retries struct {
 	share float64 // 0 for any number
 	row   [budgetSeconds]second
--- a/limits/retries_test.go
+++ b/limits/retries_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// In any ten seconds no more retries are taken than the share of calls, or the few that always are; first tries are
-// always taken.
+// In any ten seconds no more retries are taken than the share of calls, or the few that always are; first
+// tries are always taken.
 func TestRetriesStayInTheirBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0.01, 0.5).Draw(t, "share")
--- a/plan/bench_test.go
+++ b/plan/bench_test.go
@@ -27,7 +27,8 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// 300 edges follow one planner of 300 engines, all in one process on loopback: how long a plan takes to reach them,
+// 300 edges follow one planner of 300 engines, all in one process on loopback: how long a plan takes to reach
+// them,
 // and how long a planner that was killed and started needs until all follow it again.
 func BenchmarkPlanTo300Edges(b *testing.B) {
 	const engines, edges = 300, 300
@@ -43,7 +44,8 @@
 			b.Fatal(err)
 		}
 		defer e.Stop()
-		list.Engines = append(list.Engines, roster.Entry{Engine: e.Addr(), Kind: kind, Weight: 1, State: roster.Ready})
+		list.Engines = append(list.Engines, roster.Entry{Engine: e.Addr(), Kind: kind, Weight: 1,
+			State: roster.Ready})
 	}
 	dir := b.TempDir()
 	d := settings.PlanningDefaults()
@@ -63,7 +65,8 @@
 	at := make([]time.Time, edges)
 	for i := range edges {
 		go follow.Planner{Addr: p.Addr(), Report: func(context.Context) (planwire.EdgeReport, error) {
-			return planwire.EdgeReport{Edge: fmt.Sprint("edge", i), Life: 1, Routes: []planwire.RouteCount{{Route: "a"}, {Route: "b"}}}, nil
+			return planwire.EdgeReport{Edge: fmt.Sprint("edge", i), Life: 1,
+				Routes: []planwire.RouteCount{{Route: "a"}, {Route: "b"}}}, nil
 		}}.Run(ctx, func(l roster.List) {
 			mu.Lock()
 			got[i], at[i] = l.Revision, time.Now()
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -50,7 +50,8 @@
 		}
 		t.Cleanup(e.Stop)
 		f.engines = append(f.engines, e)
-		list.Engines = append(list.Engines, roster.Entry{Engine: e.Addr(), Kind: kind, Weight: 1, State: roster.Ready})
+		list.Engines = append(list.Engines, roster.Entry{Engine: e.Addr(), Kind: kind, Weight: 1,
+			State: roster.Ready})
 	}
 	dir := t.TempDir()
 	path := filepath.Join(dir, "roster.json")
@@ -62,7 +63,8 @@
 	f.d.Kinds = []settings.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
 	f.d.Pairs = [][2]string{{"prefill", "decode"}}
 	b := &f.d.Roles
-	b.Drain, b.Order, b.Load, b.Trial, b.Cold, b.Rest, b.Grace = 2*time.Second, time.Second, 2*time.Second, time.Second, 100*time.Millisecond,
+	b.Drain, b.Order, b.Load, b.Trial, b.Cold, b.Rest, b.Grace = 2*time.Second, time.Second, 2*time.Second,
+		time.Second, 100*time.Millisecond,
 		500*time.Millisecond, 50*time.Millisecond
 	return f
 }
@@ -103,13 +105,15 @@
 }
 
 func serving(s Shown) bool {
-	return len(s.Engines) > 0 && !slices.ContainsFunc(s.Engines, func(e roles.Shown) bool { return e.State != roles.Serving || e.HeardMs < 0 })
+	return len(s.Engines) > 0 && !slices.ContainsFunc(s.Engines,
+		func(e roles.Shown) bool { return e.State != roles.Serving || e.HeardMs < 0 })
 }
 
 func order(p *Planner, o planwire.Order) (int, string) {
 	o.Who, o.Why = "test", "test"
 	data, _ := json.Marshal(o)
-	answer, err := http.Post("http://"+p.Addr()+planwire.OrderPath, "application/json", strings.NewReader(string(data)))
+	answer, err := http.Post("http://"+p.Addr()+planwire.OrderPath, "application/json",
+		strings.NewReader(string(data)))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -119,8 +123,8 @@
 	return answer.StatusCode, string(text[:n])
 }
 
-// The planner is killed before each effect of a change in turn. The next life must bring the change to its end, with
-// plan and engine of one mind.
+// The planner is killed before each effect of a change in turn. The next life must bring the change to its
+// end, with plan and engine of one mind.
 func TestKilledBeforeEachEffectOfAChange(t *testing.T) {
 	for k := 1; ; k++ {
 		f := newFleet(t, 2, 2)
@@ -160,9 +164,10 @@
 			}
 			err = json.NewDecoder(answer.Body).Decode(&s)
 			answer.Body.Close()
-			if err == nil && serving(s) && f.engines[0].Role() == "write" && s.Engines[slices.IndexFunc(s.Engines, func(e roles.Shown) bool {
-				return e.Engine == f.engines[0].Addr()
-			})].Role == "write" {
+			if err == nil && serving(s) && f.engines[0].Role() == "write" &&
+				s.Engines[slices.IndexFunc(s.Engines, func(e roles.Shown) bool {
+					return e.Engine == f.engines[0].Addr()
+				})].Role == "write" {
 				break
 			}
 		}
@@ -178,21 +183,25 @@
 		for _, e := range s.Engines {
 			i := slices.IndexFunc(f.engines, func(x *engine.Engine) bool { return x.Addr() == e.Engine })
 			if x := f.engines[i]; x.Role() != e.Role || x.Epoch() != e.Epoch {
-				t.Errorf("killed before %s: %s is %s of %d, kept as %s of %d", killed, e.Engine, x.Role(), x.Epoch(), e.Role, e.Epoch)
+				t.Errorf("killed before %s: %s is %s of %d, kept as %s of %d", killed, e.Engine, x.Role(),
+					x.Epoch(), e.Role, e.Epoch)
 			}
 		}
 		q.Stop()
 		for i := 1; i < len(f.plans); i++ {
 			if !f.plans[i].Newer(f.plans[i-1]) {
-				t.Errorf("plan %d of term %d follows %d of %d", f.plans[i].Number, f.plans[i].Term, f.plans[i-1].Number, f.plans[i-1].Term)
+				t.Errorf("plan %d of term %d follows %d of %d", f.plans[i].Number, f.plans[i].Term,
+					f.plans[i-1].Number, f.plans[i-1].Term)
 			}
 		}
 	}
 }
 
-// What an engine does that claims a role without having it, or never comes back: it is set aside, and never listed.
+// What an engine does that claims a role without having it, or never comes back: it is set aside, and never
+// listed.
 func TestEnginesThatFailTheirChangeAreSetAside(t *testing.T) {
-	for name, faults := range map[string]engine.Faults{"claims a role": {FalseRole: true}, "never back": {NeverBack: true}} {
+	for name, faults := range map[string]engine.Faults{"claims a role": {FalseRole: true},
+		"never back": {NeverBack: true}} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 2, 2)
 			p := f.start(nil)
@@ -200,11 +209,16 @@
 			f.look(p, "ready", serving)
 			e := f.engines[0]
 			e.Set(faults)
-			if status, text := order(p, planwire.Order{Op: "move", Engine: e.Addr()}); status != http.StatusOK {
+			if status, text := order(p, planwire.Order{Op: "move",
+				Engine: e.Addr()}); status != http.StatusOK {
 				t.Fatal(status, text)
 			}
 			f.look(p, "set aside", func(s Shown) bool {
-				return slices.ContainsFunc(s.Engines, func(x roles.Shown) bool { return x.Engine == e.Addr() && x.State == roles.Aside && x.Trouble != "" })
+				return slices.ContainsFunc(s.Engines,
+					func(x roles.Shown) bool {
+						return x.Engine == e.Addr() && x.State == roles.Aside &&
+							x.Trouble != ""
+					})
 			})
 			f.mu.Lock()
 			for _, plan := range f.plans {
@@ -246,13 +260,16 @@
 			t.Errorf("%+v: %d %s", c.o, status, text)
 		}
 	}
-	if status, _ := order(p, planwire.Order{Op: "pin", Engine: f.engines[1].Addr()}); status != http.StatusOK {
+	if status, _ := order(p, planwire.Order{Op: "pin",
+		Engine: f.engines[1].Addr()}); status != http.StatusOK {
 		t.Error("pin refused")
 	}
-	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[1].Addr()}); status < 400 || !strings.Contains(text, "pinned") {
+	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[1].Addr()}); status < 400 ||
+		!strings.Contains(text, "pinned") {
 		t.Error(status, text)
 	}
-	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[2].Addr(), Dry: true}); status != http.StatusOK || !strings.Contains(text, "leaves") {
+	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[2].Addr(),
+		Dry: true}); status != http.StatusOK || !strings.Contains(text, "leaves") {
 		t.Error(status, text)
 	}
 	if f.engines[2].Epoch() != 1 {
@@ -260,8 +277,8 @@
 	}
 }
 
-// A second planner: on the same store it does not start; with a store of its own only if it is told to, and then the
-// first one is fenced off by its engines.
+// A second planner: on the same store it does not start; with a store of its own only if it is told to, and
+// then the first one is fenced off by its engines.
 func TestSecondPlannerIsFenced(t *testing.T) {
 	f := newFleet(t, 2, 2)
 	p := f.start(nil)
@@ -285,7 +302,8 @@
 	}
 	defer q.Stop()
 	f.look(q, "ready", serving)
-	if status, text := order(q, planwire.Order{Op: "move", Engine: f.engines[0].Addr()}); status != http.StatusOK {
+	if status, text := order(q, planwire.Order{Op: "move",
+		Engine: f.engines[0].Addr()}); status != http.StatusOK {
 		t.Fatal(text)
 	}
 	f.look(p, "deposed", func(s Shown) bool { return s.Deposed })
@@ -315,7 +333,8 @@
 			return nil
 		}
 	})
-	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[0].Addr()}); status < 400 || !strings.Contains(text, "could not be kept") {
+	if status, text := order(p, planwire.Order{Op: "move", Engine: f.engines[0].Addr()}); status < 400 ||
+		!strings.Contains(text, "could not be kept") {
 		t.Error(status, text)
 	}
 	f.look(p, "stuck", func(s Shown) bool { return s.Stuck })
@@ -327,7 +346,10 @@
 	mu.Lock()
 	full = false
 	mu.Unlock()
-	f.look(p, "going on", func(s Shown) bool { return !s.Stuck && serving(s) && f.engines[0].Role() == "write" })
+	f.look(p, "going on", func(s Shown) bool {
+		return !s.Stuck && serving(s) &&
+			f.engines[0].Role() == "write"
+	})
 }
 
 // An edge follows over restarts of the planner, and never goes back to an older plan.
@@ -341,7 +363,8 @@
 	faults := make(chan error, 100)
 	var all sync.WaitGroup
 	all.Go(func() {
-		follow.Planner{Addr: p.Addr(), Quiet: 2 * time.Second}.Run(ctx, func(l roster.List) { lists <- l }, func(err error) { faults <- err })
+		follow.Planner{Addr: p.Addr(), Quiet: 2 * time.Second}.Run(ctx, func(l roster.List) { lists <- l },
+			func(err error) { faults <- err })
 	})
 	first := <-lists
 	if len(first.Engines) != 4 || first.Engines[0].Epoch != 1 {
@@ -364,7 +387,8 @@
 // Whatever happens to a store's bytes, it is opened or told, and what comes out of it is what was kept.
 func TestDamagedStores(t *testing.T) {
 	dir := t.TempDir()
-	records := []roles.Record{{Engine: "127.0.0.1:1", Role: "read", Epoch: 3, State: roles.Ordered, Next: "write", NextEpoch: 4}}
+	records := []roles.Record{{Engine: "127.0.0.1:1", Role: "read", Epoch: 3, State: roles.Ordered,
+		Next: "write", NextEpoch: 4}}
 	n := 0
 	rapid.Check(t, func(t *rapid.T) {
 		n++
@@ -384,7 +408,8 @@
 			data = data[:rapid.IntRange(0, len(data)).Draw(t, "at")]
 		case "flip":
 			for range rapid.IntRange(1, 4).Draw(t, "bits") {
-				data[rapid.IntRange(0, len(data)-1).Draw(t, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+				data[rapid.IntRange(0, len(data)-1).Draw(t, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(t,
+					"bit")
 			}
 		case "zero":
 			at := rapid.IntRange(0, len(data)-1).Draw(t, "at")
@@ -396,7 +421,8 @@
 			return // told, and nothing is invented
 		}
 		defer s.Close()
-		if kept.Term != 0 && kept.Term != 7 || len(kept.Records) > 1 || len(kept.Records) == 1 && kept.Records[0] != records[0] {
+		if kept.Term != 0 && kept.Term != 7 || len(kept.Records) > 1 || len(kept.Records) == 1 &&
+			kept.Records[0] != records[0] {
 			t.Fatalf("invented: %+v", kept)
 		}
 	})
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -1,5 +1,6 @@
-// Package plan is the planner on sockets: it asks engines and takes edges' reports, hands them to roles, keeps what
-// roles wants kept before anything that follows from it, and streams plans to edges. It decides nothing itself.
+// Package plan is the planner on sockets: it asks engines and takes edges' reports, hands them to roles,
+// keeps what roles wants kept before anything that follows from it, and streams plans to edges. It decides
+// nothing itself.
 package plan
 
 import (
@@ -76,12 +77,14 @@
 
 // New makes a planner; Start runs it.
 func New(d *settings.Planning, log *zap.Logger) *Planner {
-	p := &Planner{d: d, log: log, in: make(chan func(), maxInbox), began: time.Now(), changed: make(chan struct{}),
-		kinds: map[string]settings.EngineKind{}, unkept: map[string]roles.Record{}, meters: newMeters()}
+	p := &Planner{d: d, log: log, in: make(chan func(), maxInbox), began: time.Now(),
+		changed: make(chan struct{}),
+		kinds:   map[string]settings.EngineKind{}, unkept: map[string]roles.Record{}, meters: newMeters()}
 	for _, k := range d.Kinds {
 		p.kinds[k.Name] = k
 	}
-	p.client = &http.Client{Timeout: askTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
+	p.client = &http.Client{Timeout: askTime, Transport: &http.Transport{MaxIdleConnsPerHost: 2,
+		MaxConnsPerHost: 4,
 		IdleConnTimeout: time.Minute}}
 	return p
 }
@@ -123,14 +126,18 @@
 	p.over.Go(p.askAll)
 	p.over.Go(func() {
 		take := func(list roster.List) { p.put(func() { p.step(roles.Listed{Boxes: p.boxes(list)}) }) }
-		roster.File{Path: p.d.Roster}.Run(p.ctx, take, func(err error) { p.log.Warn("roster", zap.Error(err)) })
+		roster.File{Path: p.d.Roster}.Run(p.ctx, take, func(err error) {
+			p.log.Warn("roster",
+				zap.Error(err))
+		})
 	})
-	p.log.Info("planning", zap.String("at", p.Addr()), zap.Int64("term", p.term), zap.Int("records", len(kept.Records)))
+	p.log.Info("planning", zap.String("at", p.Addr()), zap.Int64("term", p.term), zap.Int("records",
+		len(kept.Records)))
 	return nil
 }
 
-// newTerm is over all that this store had. A planner whose store is new and whose engines follow another one would
-// fence that one off, so it only starts if it is told to.
+// newTerm is over all that this store had. A planner whose store is new and whose engines follow another one
+// would fence that one off, so it only starts if it is told to.
 func (p *Planner) newTerm(kept Kept) (int64, error) {
 	if kept.Term > 0 {
 		return kept.Term + 1, nil
@@ -212,8 +219,8 @@
 
 func (p *Planner) step(in roles.Input) { p.carryOut(p.core.Step(p.clock(), in)) }
 
-// carryOut does what roles decided, in order. What could not be kept must not be followed by what hangs on it: until a
-// save goes well nothing is asked or published, and asking again is roles' habit anyway.
+// carryOut does what roles decided, in order. What could not be kept must not be followed by what hangs on
+// it: until a save goes well nothing is asked or published, and asking again is roles' habit anyway.
 func (p *Planner) carryOut(effects []roles.Effect) {
 	for _, e := range effects {
 		if p.ctx.Err() != nil {
@@ -248,7 +255,8 @@
 		case roles.Tell:
 			p.log.Warn("roles", zap.String("what", e.Text))
 		case roles.Deposed:
-			p.log.Error("deposed: this planner orders and publishes nothing more", zap.Int64("by_term", e.Term))
+			p.log.Error("deposed: this planner orders and publishes nothing more", zap.Int64("by_term",
+				e.Term))
 			p.mu.Lock()
 			p.line = nil // edges that ask are sent away
 			close(p.changed)
@@ -313,10 +321,12 @@
 	for _, e := range list.Engines {
 		k, ok := p.kinds[e.Kind]
 		if !ok || k.Role == "both" {
-			p.log.Warn("an engine of a kind that changes nothing here is left out", zap.String("engine", e.Engine), zap.String("kind", e.Kind))
+			p.log.Warn("an engine of a kind that changes nothing here is left out", zap.String("engine",
+				e.Engine), zap.String("kind", e.Kind))
 			continue
 		}
-		b := roles.Box{Engine: e.Engine, Role: k.Role, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, Ready: e.State == roster.Ready,
+		b := roles.Box{Engine: e.Engine, Role: k.Role, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight,
+			Ready:   e.State == roster.Ready,
 			UpSince: e.UpSince * int64(time.Millisecond), Kinds: map[string]string{k.Role: k.Name}}
 		for _, pair := range p.d.Pairs {
 			if pair[0] == k.Name || pair[1] == k.Name {
@@ -410,7 +420,8 @@
 	if err != nil {
 		return
 	}
-	r, err := http.NewRequestWithContext(p.ctx, http.MethodPost, "http://"+a.Engine+planwire.RolePath, strings.NewReader(string(data)))
+	r, err := http.NewRequestWithContext(p.ctx, http.MethodPost, "http://"+a.Engine+planwire.RolePath,
+		strings.NewReader(string(data)))
 	if err != nil {
 		return
 	}
@@ -421,7 +432,8 @@
 	}
 	io.Copy(io.Discard, io.LimitReader(answer.Body, 4096))
 	answer.Body.Close()
-	p.log.Info("order", zap.String("engine", a.Engine), zap.String("role", a.Order.Role), zap.Int64("epoch", a.Order.Epoch),
+	p.log.Info("order", zap.String("engine", a.Engine), zap.String("role", a.Order.Role), zap.Int64("epoch",
+		a.Order.Epoch),
 		zap.Bool("drain", a.Order.Drain), zap.Int("status", answer.StatusCode))
 }
 
@@ -538,7 +550,8 @@
 func (p *Planner) serveRoles(w http.ResponseWriter, r *http.Request) {
 	got := make(chan Shown, 1)
 	p.put(func() {
-		s := Shown{Term: p.term, Deposed: p.core.Deposed(), Stuck: p.stuck, Engines: p.core.Show(), Decision: p.core.Explained()}
+		s := Shown{Term: p.term, Deposed: p.core.Deposed(), Stuck: p.stuck, Engines: p.core.Show(),
+			Decision: p.core.Explained()}
 		p.mu.Lock()
 		s.Number, s.Edges = p.number, p.streams
 		p.mu.Unlock()
@@ -581,7 +594,8 @@
 				err = errors.New("it could not be kept, and takes effect once it can")
 			}
 		}
-		p.log.Info("operator", zap.String("op", o.Op), zap.String("engine", o.Engine), zap.String("who", o.Who), zap.String("why", o.Why),
+		p.log.Info("operator", zap.String("op", o.Op), zap.String("engine", o.Engine), zap.String("who",
+			o.Who), zap.String("why", o.Why),
 			zap.Bool("dry", o.Dry), zap.Error(err))
 		got <- answer{text, err}
 	})
@@ -609,9 +623,12 @@
 
 func newMeters() meters {
 	m := meters{registry: prometheus.NewRegistry(),
-		plans:   prometheus.NewCounter(prometheus.CounterOpts{Name: "sandcourse_plans_total", Help: "Plans published."}),
-		streams: prometheus.NewGauge(prometheus.GaugeOpts{Name: "sandcourse_plan_streams", Help: "Edges that follow."}),
-		engines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sandcourse_roles", Help: "Engines by role and state."},
+		plans: prometheus.NewCounter(prometheus.CounterOpts{Name: "sandcourse_plans_total",
+			Help: "Plans published."}),
+		streams: prometheus.NewGauge(prometheus.GaugeOpts{Name: "sandcourse_plan_streams",
+			Help: "Edges that follow."}),
+		engines: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sandcourse_roles",
+			Help: "Engines by role and state."},
 			[]string{"role", "state"}),
 		need: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sandcourse_roles_needed",
 			Help: "Engines that what arrives keeps busy, by role."}, []string{"role"})}
--- a/plan/store.go
+++ b/plan/store.go
@@ -17,8 +17,8 @@
 	"sandcourse/roles"
 )
 
-// Store keeps the planner's intent: its term, its orders, and where each engine's role stands. A transaction is whole
-// or not there; each value has a checksum of its own as well, for what a disk does to it later.
+// Store keeps the planner's intent: its term, its orders, and where each engine's role stands. A transaction
+// is whole or not there; each value has a checksum of its own as well, for what a disk does to it later.
 type Store struct {
 	path string
 	db   *bbolt.DB
@@ -43,12 +43,13 @@
 	Faults  []string // what could not be read, and was left out
 }
 
-// Open opens the store at path, or makes it. A file that is damaged as a whole is put beside under another name, and
-// an empty one takes its place: engines are asked for their roles then.
+// Open opens the store at path, or makes it. A file that is damaged as a whole is put beside under another
+// name, and an empty one takes its place: engines are asked for their roles then.
 func Open(path string) (*Store, Kept, error) {
 	s := &Store{path: path}
 	kept, err := s.open()
-	if err == nil || errors.Is(err, ErrTaken) || errors.Is(err, os.ErrPermission) || errors.Is(err, os.ErrNotExist) {
+	if err == nil || errors.Is(err, ErrTaken) || errors.Is(err, os.ErrPermission) || errors.Is(err,
+		os.ErrNotExist) {
 		return s, kept, err
 	}
 	if s.db != nil {
@@ -65,8 +66,8 @@
 }
 
 func (s *Store) open() (kept Kept, err error) {
-	// bbolt reads its pages from mapped memory as they are: a damaged one ends in a panic, or a fault. Its locks are
-	// not given back then, so what it opened is left as it is.
+	// bbolt reads its pages from mapped memory as they are: a damaged one ends in a panic, or a fault. Its
+	// locks are not given back then, so what it opened is left as it is.
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
 	defer func() {
 		if p := recover(); p != nil {
@@ -110,7 +111,8 @@
 		return tx.Bucket(recordsBucket).ForEach(func(key, data []byte) error {
 			var r roles.Record
 			if err := unseal(data, &r); err != nil {
-				kept.Faults = append(kept.Faults, fmt.Sprintf("store %s: engine %s: %v; it is asked for its role", s.path, key, err))
+				kept.Faults = append(kept.Faults,
+					fmt.Sprintf("store %s: engine %s: %v; it is asked for its role", s.path, key, err))
 				return nil
 			}
 			kept.Records = append(kept.Records, r)
@@ -123,8 +125,8 @@
 	return kept, nil
 }
 
-// wholeFile is whether a store's file is as long as its newest page table says; a shorter one would fault when it is
-// read. The layout is bbolt's own: two pages, each with a header of 16 bytes and a meta record.
+// wholeFile is whether a store's file is as long as its newest page table says; a shorter one would fault
+// when it is read. The layout is bbolt's own: two pages, each with a header of 16 bytes and a meta record.
 func wholeFile(path string) error {
 	f, err := os.Open(path)
 	if errors.Is(err, os.ErrNotExist) {
--- a/plan/trial.go
+++ b/plan/trial.go
@@ -29,9 +29,9 @@
 	return io.ReadAll(io.LimitReader(f, 4<<20+1))
 }
 
-// try gives an engine a small piece of work under its new epoch, through the protocol that edges speak. A reader shows
-// a state for a prompt of one word; a writer, asked for the answer from a state that does not exist, says so, which
-// only an engine that writes knows.
+// try gives an engine a small piece of work under its new epoch, through the protocol that edges speak. A
+// reader shows a state for a prompt of one word; a writer, asked for the answer from a state that does not
+// exist, says so, which only an engine that writes knows.
 func (p *Planner) try(t roles.Try) error {
 	ctx, cancel := context.WithTimeout(p.ctx, p.d.Roles.Trial)
 	defer cancel()
@@ -47,7 +47,8 @@
 			return e
 		}
 		number, _ := strconv.Atoi(port)
-		request, err = job.Write(t.Engine, t.Epoch, engine.Transfer{RemotePrefill: true, Engine: job.Name + "/none", Host: host, Port: number})
+		request, err = job.Write(t.Engine, t.Epoch, engine.Transfer{RemotePrefill: true, Engine: job.Name +
+			"/none", Host: host, Port: number})
 	}
 	if err != nil {
 		return err
@@ -77,7 +78,8 @@
 	word := answer.Header.Get(engine.HeaderRefused)
 	if t.Role == planwire.Write {
 		if word != engine.RefusedNoState {
-			return fmt.Errorf("asked to write from a state that is not there, it answers %s %s", answer.Status, word)
+			return fmt.Errorf("asked to write from a state that is not there, it answers %s %s",
+				answer.Status, word)
 		}
 		return nil
 	}
--- a/planwire/planwire.go
+++ b/planwire/planwire.go
@@ -1,5 +1,5 @@
-// Package planwire is what planner, edges, engines and operators say to one another: plans, reports and orders, as
-// JSON, checked as they are read. It does no I/O.
+// Package planwire is what planner, edges, engines and operators say to one another: plans, reports and
+// orders, as JSON, checked as they are read. It does no I/O.
 package planwire
 
 import (
@@ -38,9 +38,9 @@
 	return Read
 }
 
-// Engine is one engine of a plan. UpFor is how long it has been up when the plan is sent, in milliseconds, and 0 for
-// long: clocks of planner and edges may differ, so no time of day is sent. Epoch is of its role: an engine refuses
-// sends of another one.
+// Engine is one engine of a plan. UpFor is how long it has been up when the plan is sent, in milliseconds,
+// and 0 for long: clocks of planner and edges may differ, so no time of day is sent. Epoch is of its role: an
+// engine refuses sends of another one.
 type Engine struct {
 	Engine string  `json:"engine"`
 	Kind   string  `json:"kind"`
@@ -68,7 +68,8 @@
 func (p Plan) List(now int64) roster.List {
 	list := roster.List{Revision: p.Number, Engines: []roster.Entry{}}
 	for _, e := range p.Engines {
-		entry := roster.Entry{Engine: e.Engine, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, State: e.State,
+		entry := roster.Entry{Engine: e.Engine, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight,
+			State: e.State,
 			Epoch: e.Epoch}
 		if e.UpFor > 0 {
 			entry.UpSince = now - e.UpFor
@@ -111,7 +112,8 @@
 	Shed     float64 `json:"shed"`
 }
 
-// EdgeReport is one edge's counts. Life differs between its lives. Plan is the number of the plan that it follows.
+// EdgeReport is one edge's counts. Life differs between its lives. Plan is the number of the plan that it
+// follows.
 type EdgeReport struct {
 	Edge   string       `json:"edge"`
 	Life   int64        `json:"life"`
@@ -120,8 +122,8 @@
 	Routes []RouteCount `json:"routes"`
 }
 
-// RoleOrder is what a planner asks of an engine. An engine follows the latest term and epoch only. Of its present
-// epoch it takes drains and their end; a higher one makes it leave its role for the one named.
+// RoleOrder is what a planner asks of an engine. An engine follows the latest term and epoch only. Of its
+// present epoch it takes drains and their end; a higher one makes it leave its role for the one named.
 type RoleOrder struct {
 	Term  int64  `json:"term"`
 	Epoch int64  `json:"epoch"`
@@ -201,9 +203,11 @@
 	if err := read(data, MaxReport, &r); err != nil {
 		return r, fmt.Errorf("engine's report: %w", err)
 	}
-	if r.Role != Read && r.Role != Write || r.Epoch < 0 || r.Term < 0 || r.UpFor < 0 || r.Open < 0 || r.Held < 0 ||
+	if r.Role != Read && r.Role != Write || r.Epoch < 0 || r.Term < 0 || r.UpFor < 0 || r.Open < 0 ||
+		r.Held < 0 ||
 		!sane(r.Read, r.Written, r.Busy, r.Kept) || len(r.Hot) > 64 {
-		return r, fmt.Errorf("engine's report: role %q, epoch %d, or a count is out of range", r.Role, r.Epoch)
+		return r, fmt.Errorf("engine's report: role %q, epoch %d, or a count is out of range", r.Role,
+			r.Epoch)
 	}
 	return r, nil
 }
@@ -217,7 +221,8 @@
 		return r, fmt.Errorf("edge's report: it needs a name of 1 to 256 bytes and at most 1000 routes")
 	}
 	for i, t := range r.Routes {
-		if t.Route == "" || !sane(t.Arrived, t.Prompt, t.Began, t.BegunFor, t.Ended, t.Answer, t.InTime, t.Shed) {
+		if t.Route == "" || !sane(t.Arrived, t.Prompt, t.Began, t.BegunFor, t.Ended, t.Answer, t.InTime,
+			t.Shed) {
 			return r, fmt.Errorf("edge's report: routes[%d]: no name, or a count out of range", i)
 		}
 	}
@@ -240,7 +245,8 @@
 	if err := read(data, 1<<14, &o); err != nil {
 		return o, fmt.Errorf("order: %w", err)
 	}
-	needs := map[string]bool{"pin": true, "unpin": true, "move": true, "readmit": true, "stop": false, "go": false}
+	needs := map[string]bool{"pin": true, "unpin": true, "move": true, "readmit": true, "stop": false,
+		"go": false}
 	engine, known := needs[o.Op]
 	switch {
 	case !known:
--- a/planwire/planwire_test.go
+++ b/planwire/planwire_test.go
@@ -9,7 +9,8 @@
 )
 
 func plan() Plan {
-	return Plan{Term: 2, Number: 9, Engines: []Engine{{Engine: "10.0.0.1:80", Kind: "prefill", Weight: 1, State: "ready", Epoch: 3, UpFor: 5},
+	return Plan{Term: 2, Number: 9, Engines: []Engine{{Engine: "10.0.0.1:80", Kind: "prefill", Weight: 1,
+		State: "ready", Epoch: 3, UpFor: 5},
 		{Engine: "10.0.0.2:80", Kind: "decode", State: "draining"}}}
 }
 
@@ -32,7 +33,8 @@
 
 // Whatever the bytes, the readers return and what they let through is within bounds.
 func TestReadersBoundWhatComes(t *testing.T) {
-	bases := []any{plan(), EngineReport{Role: Read, Epoch: 1}, EdgeReport{Edge: "e", Routes: []RouteCount{{Route: "a", Arrived: 1}}},
+	bases := []any{plan(), EngineReport{Role: Read, Epoch: 1}, EdgeReport{Edge: "e",
+		Routes: []RouteCount{{Route: "a", Arrived: 1}}},
 		RoleOrder{Term: 1, Role: Write}, Order{Op: "move", Engine: "x"}}
 	rapid.Check(t, func(t *rapid.T) {
 		data, _ := json.Marshal(rapid.SampledFrom(bases).Draw(t, "base"))
@@ -42,7 +44,8 @@
 			case 0:
 				data[at] = rapid.Byte().Draw(t, "byte")
 			case 1:
-				data = append(data[:at:at], append([]byte(rapid.SampledFrom([]string{"-1", "1e99", "null", "{", `"`, "[]", ","}).Draw(t, "put")), data[at:]...)...)
+				data = append(data[:at:at], append([]byte(rapid.SampledFrom([]string{"-1", "1e99", "null",
+					"{", `"`, "[]", ","}).Draw(t, "put")), data[at:]...)...)
 			default:
 				data = append(data[:at:at], data[min(len(data), at+3):]...)
 			}
@@ -53,7 +56,8 @@
 		if p, err := ReadPlan(data); err == nil && (p.Term < 1 || p.Number < 1 || p.Engines == nil) {
 			t.Fatalf("%+v", p)
 		}
-		if r, err := ReadEngineReport(data); err == nil && (!sane(r.Read, r.Written, r.Busy, r.Kept) || r.Epoch < 0 || r.Open < 0) {
+		if r, err := ReadEngineReport(data); err == nil && (!sane(r.Read, r.Written, r.Busy, r.Kept) ||
+			r.Epoch < 0 || r.Open < 0) {
 			t.Fatalf("%+v", r)
 		}
 		if r, err := ReadEdgeReport(data); err == nil {
--- a/prove/copy.go
+++ b/prove/copy.go
@@ -10,9 +10,9 @@
 	"sandcourse/settings"
 )
 
-// A state is copied field by field, so that the events of one state need not each play its path from the start
-// again. A copy must share nothing that changes: every pointer is followed, and what is shared is listed here. A kind
-// of field that cannot be copied exactly ends the program instead of a false proof.
+// A state is copied field by field, so that the events of one state need not each play its path from the
+// start again. A copy must share nothing that changes: every pointer is followed, and what is shared is
+// listed here. A kind of field that cannot be copied exactly ends the program instead of a false proof.
 var shared = map[reflect.Type]bool{
 	reflect.TypeFor[*settings.Deployment](): true, // fixed from the start
 	reflect.TypeFor[*http.Request]():        true, // a call and an answer's head are read only
--- a/prove/fleet.go
+++ b/prove/fleet.go
@@ -12,9 +12,10 @@
 	"sandcourse/roster"
 )
 
-// fleet is several nodes on the same engines. They share engines, list and time, and nothing else: events of two
-// nodes commute. So, unless the world is plain, between two shared events those of a node of lower number come first.
-// That leaves out orders, never states; TestOrderOfNodesLosesNothing compares with the plain search.
+// fleet is several nodes on the same engines. They share engines, list and time, and nothing else: events of
+// two nodes commute. So, unless the world is plain, between two shared events those of a node of lower number
+// come first. That leaves out orders, never states; TestOrderOfNodesLosesNothing compares with the plain
+// search.
 type fleet struct {
 	w    World
 	sims []*sim
@@ -59,7 +60,8 @@
 		}
 		for _, e := range own {
 			do := e.do
-			row = append(row, Event{fmt.Sprintf("node %d: %s", i, e.Name), e.fault, func() { f.turn = i; do() }})
+			row = append(row, Event{fmt.Sprintf("node %d: %s", i, e.Name), e.fault,
+				func() { f.turn = i; do() }})
 		}
 	}
 	shared := func(name, fault string, do func()) {
@@ -85,7 +87,10 @@
 		}
 		due = max(due, f.sims[0].now)
 		shared("time passes", "", func() { f.pass(due) })
-		shared(fmt.Sprintf("time passes, and the timers run %v late", lateBy), "late", func() { f.pass(due + int64(lateBy)) })
+		shared(fmt.Sprintf("time passes, and the timers run %v late", lateBy), "late", func() {
+			f.pass(due +
+				int64(lateBy))
+		})
 	}
 	return row
 }
@@ -119,7 +124,8 @@
 	f.checkCold()
 }
 
-// Each engine of a crowd, when warm, does this many sends a second; of which the budget of a cold one is made.
+// Each engine of a crowd, when warm, does this many sends a second; of which the budget of a cold one is
+// made.
 const warmRate = 60.0
 
 // checkCold adds up what all nodes sent each cold engine within one window. Two of slack: sends are lumps.
@@ -140,7 +146,8 @@
 		}
 		f.most = max(f.most, n)
 		if float64(n) > budget {
-			f.said = append(f.said, fmt.Sprintf("P14 %s is cold and gets %d sends in %v, budget %.0f", e.Engine, n, u.FallWindow, budget))
+			f.said = append(f.said, fmt.Sprintf("P14 %s is cold and gets %d sends in %v, budget %.0f",
+				e.Engine, n, u.FallWindow, budget))
 		}
 	}
 }
@@ -201,9 +208,10 @@
 
 func (f *fleet) clock() time.Duration { return f.sims[0].clock() }
 
-// Crowd is one long day of many nodes: steady arrivals at all, then an engine of each role restarts cold, twice, and
-// arrivals come at thrice the pace for three seconds, as clients who come back bring it. The wire is kind and engines answer as fast as they can when warm, so that all that
-// holds work back from a cold engine is what the nodes decide, each on its own.
+// Crowd is one long day of many nodes: steady arrivals at all, then an engine of each role restarts cold,
+// twice, and arrivals come at thrice the pace for three seconds, as clients who come back bring it. The wire
+// is kind and engines answer as fast as they can when warm, so that all that holds work back from a cold
+// engine is what the nodes decide, each on its own.
 func Crowd(w World, seed uint64, until func() bool) (r Result) {
 	r.World = w
 	rng := rand.New(rand.NewPCG(seed, 300))
--- a/prove/roles.go
+++ b/prove/roles.go
@@ -13,9 +13,9 @@
 	"sandcourse/roster"
 )
 
-// roleSim is the planner's roles with a store, some engines and edges. Each effect is an event of its own, so that the
-// planner may be killed between any two; its orders may be lost or come late, its engines may die, claim what they are
-// not, or never come back; edges may hear of plans late.
+// roleSim is the planner's roles with a store, some engines and edges. Each effect is an event of its own, so
+// that the planner may be killed between any two; its orders may be lost or come late, its engines may die,
+// claim what they are not, or never come back; edges may hear of plans late.
 type roleSim struct {
 	w       World
 	now     int64
@@ -73,7 +73,8 @@
 		if i >= w.Readers {
 			role = planwire.Write
 		}
-		s.boxes = append(s.boxes, &roleBox{name: engineName(w, i), role: role, claims: role, epoch: 1, life: 1, epochs: map[int64]string{1: role}})
+		s.boxes = append(s.boxes, &roleBox{name: engineName(w, i), role: role, claims: role, epoch: 1,
+			life: 1, epochs: map[int64]string{1: role}})
 	}
 	s.edges = make([]planwire.Plan, max(1, w.Nodes))
 	s.begin()
@@ -91,8 +92,10 @@
 }
 
 func (s *roleSim) bounds() roles.Bounds {
-	return roles.Bounds{Drain: roleDrain, Order: 300 * time.Millisecond, Load: 600 * time.Millisecond, Trial: 300 * time.Millisecond,
-		Cold: 200 * time.Millisecond, Rest: 500 * time.Millisecond, Floor: 1, Changing: 0.1, Grace: 50 * time.Millisecond}
+	return roles.Bounds{Drain: roleDrain, Order: 300 * time.Millisecond, Load: 600 * time.Millisecond,
+		Trial: 300 * time.Millisecond,
+		Cold:  200 * time.Millisecond, Rest: 500 * time.Millisecond, Floor: 1, Changing: 0.1,
+		Grace: 50 * time.Millisecond}
 }
 
 func (s *roleSim) begin() {
@@ -127,13 +130,17 @@
 		s.meta = e.Meta
 	case roles.Publish:
 		if !e.Plan.Newer(s.plan) {
-			s.tell("R5 plan %d of term %d follows %d of %d", e.Plan.Number, e.Plan.Term, s.plan.Number, s.plan.Term)
+			s.tell("R5 plan %d of term %d follows %d of %d", e.Plan.Number, e.Plan.Term, s.plan.Number,
+				s.plan.Term)
 		}
 		s.plan = e.Plan
 		s.checkPlan()
 	case roles.Ask:
 		s.checkAsk(e)
-		if !slices.ContainsFunc(s.orders, func(o order) bool { return o.to == e.Engine && o.order == e.Order }) {
+		if !slices.ContainsFunc(s.orders, func(o order) bool {
+			return o.to == e.Engine &&
+				o.order == e.Order
+		}) {
 			s.orders = append(s.orders, order{to: e.Engine, order: e.Order})
 		}
 	case roles.Try:
@@ -166,7 +173,8 @@
 
 // say hands over an engine's report, as it is now, to a question of askedAt.
 func (s *roleSim) say(b *roleBox, askedAt int64) {
-	r := planwire.EngineReport{Engine: b.name, Role: b.claims, Epoch: b.epoch, Term: b.term, Life: b.life, UpFor: 0, Changing: b.loading,
+	r := planwire.EngineReport{Engine: b.name, Role: b.claims, Epoch: b.epoch, Term: b.term, Life: b.life,
+		UpFor: 0, Changing: b.loading,
 		Draining: b.leaving, Open: b.open}
 	s.step(roles.EngineSaid{AskedAt: askedAt, Report: r})
 }
@@ -213,7 +221,8 @@
 			if s.kept[b.name].State == roles.Aside {
 				add("an operator mends and readmits "+b.name, "leave", func() {
 					b.never, b.lies = false, false
-					if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "readmit", Engine: b.name, Who: "w", Why: "y"}); err == nil {
+					if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "readmit", Engine: b.name,
+						Who: "w", Why: "y"}); err == nil {
 						s.queue = append(s.queue, effects...)
 					}
 				})
@@ -239,7 +248,8 @@
 			if i == 0 || i == s.w.Readers {
 				add("an operator moves "+b.name, "", func() {
 					s.wishes--
-					if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "move", Engine: b.name, Who: "w", Why: "y"}); err == nil {
+					if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "move", Engine: b.name,
+						Who: "w", Why: "y"}); err == nil {
 						s.queue = append(s.queue, effects...)
 					}
 				})
@@ -249,11 +259,13 @@
 	}
 	for i, o := range s.orders {
 		take := func() { s.orders = slices.Delete(s.orders, i, i+1) }
-		add(fmt.Sprintf("order %v reaches %s", o.order, o.to), "", func() { take(); s.box(o.to).follow(o.order) })
+		add(fmt.Sprintf("order %v reaches %s", o.order, o.to), "",
+			func() { take(); s.box(o.to).follow(o.order) })
 		add(fmt.Sprintf("order %v to %s is lost", o.order, o.to), "reset", take)
 		if o.late == 0 {
 			// Ten ticks: longer than any step of a change, so that it comes in the middle of another.
-			add(fmt.Sprintf("order %v to %s is late", o.order, o.to), "late", func() { s.orders[i].late = 10 })
+			add(fmt.Sprintf("order %v to %s is late", o.order, o.to), "late",
+				func() { s.orders[i].late = 10 })
 		}
 	}
 	for i, t := range s.trials {
@@ -272,20 +284,27 @@
 			add(b.name+" is loaded", "", b.loaded)
 			add(b.name+" never comes back", "silent", func() { b.never = true })
 			if !b.lies && b.claims != b.role {
-				add(b.name+" claims the role and keeps the old one", "garbled", func() { b.lies = true; b.loaded() })
+				add(b.name+" claims the role and keeps the old one", "garbled",
+					func() { b.lies = true; b.loaded() })
 			}
 		}
 		if b.loading {
-			add(b.name+" crashes and starts in the role that it loaded for", "restart", func() { b.never = false; b.loaded(); b.life++ })
+			add(b.name+" crashes and starts in the role that it loaded for", "restart",
+				func() { b.never = false; b.loaded(); b.life++ })
 		} else if k, ok := s.kept[b.name]; ok && k.State != roles.Serving {
-			add(b.name+" crashes and starts again", "restart", func() { b.life++; b.leaving, b.open = false, 0 })
-		}
-		if first := b.epochs[1]; b.epoch > 1 && !b.loading {
-			add(b.name+" crashes and starts in the role that it had first, with all else forgotten", "restart", func() {
-				b.role, b.claims, b.epoch, b.term, b.leaving, b.open = first, first, 1, 0, false, 0
+			add(b.name+" crashes and starts again", "restart", func() {
 				b.life++
+				b.leaving, b.open = false,
+					0
 			})
 		}
+		if first := b.epochs[1]; b.epoch > 1 && !b.loading {
+			add(b.name+" crashes and starts in the role that it had first, with all else forgotten",
+				"restart", func() {
+					b.role, b.claims, b.epoch, b.term, b.leaving, b.open = first, first, 1, 0, false, 0
+					b.life++
+				})
+		}
 		if b.open > 0 && !b.endless {
 			add("what is open at "+b.name+" ends", "", func() { b.open = 0 })
 			add("what is open at "+b.name+" goes on and on", "silent", func() { b.endless = true })
@@ -296,8 +315,12 @@
 			add(fmt.Sprintf("edge %d hears plan %d", i, s.plan.Number), "", func() { s.edges[i] = s.plan })
 		}
 	}
-	pending := slices.ContainsFunc(s.orders, func(o order) bool { return o.late == 0 || o.late == 1 }) || len(s.trials) > 0 ||
-		slices.ContainsFunc(s.boxes, func(b *roleBox) bool { return b.loading && !b.never || b.open > 0 && !b.endless }) ||
+	pending := slices.ContainsFunc(s.orders, func(o order) bool { return o.late == 0 || o.late == 1 }) ||
+		len(s.trials) > 0 ||
+		slices.ContainsFunc(s.boxes, func(b *roleBox) bool {
+			return b.loading && !b.never || b.open > 0 &&
+				!b.endless
+		}) ||
 		slices.ContainsFunc(s.edges, func(p planwire.Plan) bool { return s.plan.Newer(p) })
 	if !pending {
 		add("time passes and all engines are asked", "", func() {
@@ -312,7 +335,8 @@
 	if s.meta.Stopped == false && !s.stopped {
 		add("an operator stops all changes", "leave", func() {
 			s.stopped = true
-			if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "stop", Who: "w", Why: "y"}); err == nil {
+			if _, effects, err := s.core.Order(s.now, planwire.Order{Op: "stop", Who: "w",
+				Why: "y"}); err == nil {
 				s.queue = append(s.queue, effects...)
 			}
 		})
@@ -350,7 +374,8 @@
 	}
 	for _, b := range s.boxes {
 		k, ok := s.kept[b.name]
-		if ok && k.State != roles.Serving && !(k.State == roles.Aside && (b.never || b.lies)) || b.loading && !b.never || b.open > 0 && !b.endless {
+		if ok && k.State != roles.Serving && !(k.State == roles.Aside && (b.never || b.lies)) ||
+			b.loading && !b.never || b.open > 0 && !b.endless {
 			return false
 		}
 		if ok && k.State == roles.Serving && (k.Role != b.role || k.Epoch != b.epoch || b.leaving) {
@@ -376,13 +401,15 @@
 		}
 		b := s.box(e.Engine)
 		if role, ok := b.epochs[e.Epoch]; ok && role != e.Kind {
-			s.tell("R1 plan %d lists %s as %s under epoch %d, under which it is %s", s.plan.Number, e.Engine, e.Kind, e.Epoch, role)
+			s.tell("R1 plan %d lists %s as %s under epoch %d, under which it is %s", s.plan.Number,
+				e.Engine, e.Kind, e.Epoch, role)
 		}
 	}
 	for _, role := range []string{planwire.Read, planwire.Write} {
 		lost := 0 // to its own fault, not to a change
 		for _, b := range s.boxes {
-			if k, ok := s.kept[b.name]; ok && k.Role == role && (k.State == roles.Returning || k.State == roles.Aside || k.State == roles.Trying) {
+			if k, ok := s.kept[b.name]; ok && k.Role == role && (k.State == roles.Returning ||
+				k.State == roles.Aside || k.State == roles.Trying) {
 				lost++
 			}
 		}
@@ -406,7 +433,8 @@
 		for _, e := range p.Engines {
 			b := s.box(e.Engine)
 			if e.State == roster.Ready && e.Epoch == b.epoch && !b.loading && b.role != e.Kind {
-				s.tell("R2 edge %d would send %s what is for %s, and its epoch %d is taken", i, e.Engine, e.Kind, e.Epoch)
+				s.tell("R2 edge %d would send %s what is for %s, and its epoch %d is taken", i, e.Engine,
+					e.Kind, e.Epoch)
 			}
 		}
 	}
@@ -442,11 +470,13 @@
 
 func (s roleState) tellState() (row []string) {
 	for _, b := range s.boxes {
-		row = append(row, fmt.Sprintf("%s is %s (says %s) of epoch %d, loading %v, draining %v", b.name, b.role, b.claims, b.epoch, b.loading, b.leaving))
+		row = append(row, fmt.Sprintf("%s is %s (says %s) of epoch %d, loading %v, draining %v", b.name,
+			b.role, b.claims, b.epoch, b.loading, b.leaving))
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.kept)) {
 		k := s.kept[id]
-		row = append(row, fmt.Sprintf("kept of %s: %s, %s of %d, next %s of %d", id, k.State, k.Role, k.Epoch, k.Next, k.NextEpoch))
+		row = append(row, fmt.Sprintf("kept of %s: %s, %s of %d, next %s of %d", id, k.State, k.Role,
+			k.Epoch, k.Next, k.NextEpoch))
 	}
 	return row
 }
@@ -460,9 +490,11 @@
 		fmt.Fprintln(h, k)
 	}
 	for _, b := range s.boxes {
-		fmt.Fprintln(h, b.role, b.claims, b.epoch, b.term-s.term, b.loading, b.leaving, b.never, b.lies, b.open, b.endless, b.life)
+		fmt.Fprintln(h, b.role, b.claims, b.epoch, b.term-s.term, b.loading, b.leaving, b.never, b.lies,
+			b.open, b.endless, b.life)
 	}
-	fmt.Fprintf(h, "%v %v %v %v %v %v %v %v\n", s.up, s.down, len(s.queue), s.orders, s.trials, s.wishes, s.faults, s.stopped)
+	fmt.Fprintf(h, "%v %v %v %v %v %v %v %v\n", s.up, s.down, len(s.queue), s.orders, s.trials, s.wishes,
+		s.faults, s.stopped)
 	for _, e := range s.queue {
 		fmt.Fprintf(h, "%T", e)
 	}
--- a/roles/core.go
+++ b/roles/core.go
@@ -25,12 +25,14 @@
 	PerMinute float64       // of all engines, the share that may begin a change within a minute; two always
 	Grace     time.Duration // after the news of a drain, for sends under way
 	Off       bool          // decide, explain, and change nothing
-	// ReadPace and WritePace are tokens a second of one engine, until they have been measured; 0 if not known.
+	// ReadPace and WritePace are tokens a second of one engine, until they have been measured; 0 if not
+	// known.
 	ReadPace, WritePace float64
 	Values              map[string]float64 // of one inference, by model route
 }
 
-// Box is one engine as discovery lists it. Kinds are its names by role; an engine whose kind has no other role has one.
+// Box is one engine as discovery lists it. Kinds are its names by role; an engine whose kind has no other
+// role has one.
 type Box struct {
 	Engine, Role, Zone, Cell string
 	Kinds                    map[string]string
@@ -90,8 +92,8 @@
 // Listed is discovery's list, whole.
 type Listed struct{ Boxes []Box }
 
-// EngineSaid is an engine's report. AskedAt is when the question left: what was asked before a change says nothing
-// about what came of it.
+// EngineSaid is an engine's report. AskedAt is when the question left: what was asked before a change says
+// nothing about what came of it.
 type EngineSaid struct {
 	AskedAt int64
 	Report  planwire.EngineReport
@@ -193,14 +195,16 @@
 
 // New makes a core. Records and meta are what an earlier life kept; nil for a first one.
 func New(bounds Bounds, term, now int64, records []Record, meta Meta) *Core {
-	c := &Core{bounds: bounds, term: term, now: now, start: now, meta: meta, boxes: map[string]*box{}, edges: map[string]*edge{},
-		dirty: map[string]bool{}, paces: map[string]float64{}, tokens: map[string]float64{}, longing: map[string]int64{}, spells: map[string][]int64{}}
+	c := &Core{bounds: bounds, term: term, now: now, start: now, meta: meta, boxes: map[string]*box{},
+		edges: map[string]*edge{},
+		dirty: map[string]bool{}, paces: map[string]float64{}, tokens: map[string]float64{},
+		longing: map[string]int64{}, spells: map[string][]int64{}}
 	for _, r := range records {
 		// A clock that was set back must not make a step's time endless.
 		r.Since, r.Began = min(r.Since, now), min(r.Began, now)
 		c.boxes[r.Engine] = &box{Record: r, known: true, started: r.Since}
-		// Rests and the budget of a minute outlive a restart: a planner that is killed again and again must not begin
-		// more changes than one that is not.
+		// Rests and the budget of a minute outlive a restart: a planner that is killed again and again must
+		// not begin more changes than one that is not.
 		if r.Epoch > 1 || r.NextEpoch > 1 {
 			c.boxes[r.Engine].rest = r.Since
 			c.starts = last(c.starts, r.Since, 32)
@@ -274,8 +278,8 @@
 	return append(row, c.out...)
 }
 
-// opening is how long a planner without records waits to hear of roles from engines themselves. A plan made before
-// that may name roles that they no longer have; one that never comes would leave edges without any.
+// opening is how long a planner without records waits to hear of roles from engines themselves. A plan made
+// before that may name roles that they no longer have; one that never comes would leave edges without any.
 const opening = 3 * time.Second
 
 func (c *Core) mayOpen() bool {
@@ -300,13 +304,15 @@
 		seen[l.Engine] = true
 		b := c.boxes[l.Engine]
 		if b == nil {
-			b = &box{Record: Record{Engine: l.Engine, Role: l.Role, State: Serving, Since: c.now, Began: l.UpSince}}
+			b = &box{Record: Record{Engine: l.Engine, Role: l.Role, State: Serving, Since: c.now,
+				Began: l.UpSince}}
 			b.known = !l.CanChange
 			c.boxes[l.Engine] = b
 		}
 		if !l.CanChange && (b.Role != l.Role || b.Epoch != 0 || b.State != Serving || b.Began != l.UpSince) {
 			// Its kind has no other role, so discovery's word is all there is.
-			b.Record = Record{Engine: l.Engine, Role: l.Role, State: Serving, Since: c.now, Began: l.UpSince, Pinned: b.Pinned}
+			b.Record = Record{Engine: l.Engine, Role: l.Role, State: Serving, Since: c.now,
+				Began: l.UpSince, Pinned: b.Pinned}
 		}
 		b.listed, b.present = l, true
 	}
@@ -328,7 +334,9 @@
 	}
 	if r.Term > c.term && !c.deposed {
 		c.deposed = true
-		c.out = append(c.out, Deposed{r.Term}, Tell{fmt.Sprintf("%s follows a planner of term %d, this one has %d: it stops", r.Engine, r.Term, c.term)})
+		c.out = append(c.out, Deposed{r.Term},
+			Tell{fmt.Sprintf("%s follows a planner of term %d, this one has %d: it stops", r.Engine, r.Term,
+				c.term)})
 		return
 	}
 	b.measure(r, c.now)
@@ -356,7 +364,8 @@
 	case Serving, Cold:
 		switch {
 		case !asIs:
-			b.trouble = fmt.Sprintf("it says role %s of epoch %d, it was given %s of %d", r.Role, r.Epoch, b.Role, b.Epoch)
+			b.trouble = fmt.Sprintf("it says role %s of epoch %d, it was given %s of %d", r.Role, r.Epoch,
+				b.Role, b.Epoch)
 			c.happen(b, strange)
 		case r.Life != b.Life && b.Life != 0:
 			c.happen(b, restarted)
@@ -387,7 +396,8 @@
 		}
 	case Trying:
 		if !asked || r.Changing {
-			b.trouble = fmt.Sprintf("it says role %s of epoch %d in a trial of %s of %d", r.Role, r.Epoch, b.Next, b.NextEpoch)
+			b.trouble = fmt.Sprintf("it says role %s of epoch %d in a trial of %s of %d", r.Role, r.Epoch,
+				b.Next, b.NextEpoch)
 			c.happen(b, strange)
 		}
 	}
@@ -418,12 +428,14 @@
 func (c *Core) tick() {
 	for _, id := range c.ids {
 		b := c.boxes[id]
-		// A step's time counts as far as it has been heard of, so that late reports alone end no change; what is not
-		// heard of at all ends after thrice the time.
-		if limit := int64(c.limit(b.State)); limit > 0 && (b.saidOf-b.Since > limit || c.now-b.Since > 3*limit) {
+		// A step's time counts as far as it has been heard of, so that late reports alone end no change; what
+		// is not heard of at all ends after thrice the time.
+		if limit := int64(c.limit(b.State)); limit > 0 && (b.saidOf-b.Since > limit ||
+			c.now-b.Since > 3*limit) {
 			switch b.State {
 			case Draining:
-				c.out = append(c.out, Tell{fmt.Sprintf("%s did not empty within %v: it stays in its role", b.Engine, c.limit(b.State))})
+				c.out = append(c.out, Tell{fmt.Sprintf("%s did not empty within %v: it stays in its role",
+					b.Engine, c.limit(b.State))})
 			case Returning:
 				b.trouble = fmt.Sprintf("it did not come back within %v", c.limit(b.State))
 			case Trying:
@@ -468,7 +480,8 @@
 		}
 	case "stop", "go":
 		if c.meta.Stopped == (o.Op == "stop") {
-			return "", nil, fmt.Errorf("changes are %s already", map[string]string{"stop": "stopped", "go": "going on"}[o.Op])
+			return "", nil, fmt.Errorf("changes are %s already", map[string]string{"stop": "stopped",
+				"go": "going on"}[o.Op])
 		}
 		text = "changes go on"
 		if o.Op == "stop" {
@@ -528,7 +541,8 @@
 		if !b.listed.Ready {
 			state = roster.Draining
 		}
-		e := planwire.Engine{Engine: id, Kind: b.listed.Kinds[b.Role], Zone: b.listed.Zone, Cell: b.listed.Cell, Weight: b.listed.Weight, State: state,
+		e := planwire.Engine{Engine: id, Kind: b.listed.Kinds[b.Role], Zone: b.listed.Zone,
+			Cell: b.listed.Cell, Weight: b.listed.Weight, State: state,
 			Epoch: b.Epoch}
 		// Ten minutes is long for any cold start.
 		if began := max(b.Began, b.listed.UpSince); began > 0 && c.now-began < int64(10*time.Minute) {
@@ -545,14 +559,17 @@
 // Deposed is whether a planner of a later term was heard of.
 func (c *Core) Deposed() bool { return c.deposed }
 
-// Digest writes all of the roles' states that a later step may hang on, with times as they lie from now. Demand is
-// left out: explorers give none.
+// Digest writes all of the roles' states that a later step may hang on, with times as they lie from now.
+// Demand is left out: explorers give none.
 func (c *Core) Digest(w io.Writer) {
-	fmt.Fprintln(w, c.term, c.meta.Stopped, c.opened, c.deposed, c.publish, min(c.now-c.start, int64(opening)))
+	fmt.Fprintln(w, c.term, c.meta.Stopped, c.opened, c.deposed, c.publish, min(c.now-c.start,
+		int64(opening)))
 	for _, id := range c.ids {
 		b := c.boxes[id]
-		fmt.Fprintln(w, id, b.Role, b.Epoch, b.State, b.Next, b.NextEpoch, c.now-b.Since, b.Began > 0, min(c.now-b.Began, int64(c.bounds.Cold)),
-			b.Life, b.Pinned, b.present, b.known, b.trial, b.tries, min(c.now-b.askedAt, askEvery), min(c.now-b.rest, int64(c.bounds.Rest)), b.said)
+		fmt.Fprintln(w, id, b.Role, b.Epoch, b.State, b.Next, b.NextEpoch, c.now-b.Since, b.Began > 0,
+			min(c.now-b.Began, int64(c.bounds.Cold)),
+			b.Life, b.Pinned, b.present, b.known, b.trial, b.tries, min(c.now-b.askedAt, askEvery),
+			min(c.now-b.rest, int64(c.bounds.Rest)), b.said)
 	}
 	for _, at := range c.starts {
 		fmt.Fprintln(w, c.now-at)
--- a/roles/decide.go
+++ b/roles/decide.go
@@ -57,7 +57,8 @@
 func (c *Core) Show() (row []Shown) {
 	for _, id := range c.ids {
 		b := c.boxes[id]
-		s := Shown{Record: b.Record, Listed: b.present, CanChange: b.listed.CanChange, Said: b.said, HeardMs: -1, Barred: c.barred(b),
+		s := Shown{Record: b.Record, Listed: b.present, CanChange: b.listed.CanChange, Said: b.said,
+			HeardMs: -1, Barred: c.barred(b),
 			Trouble: b.trouble}
 		if b.saidAt > 0 {
 			s.HeardMs = (c.now - b.saidAt) / 1e6
@@ -95,12 +96,13 @@
 	return n
 }
 
-// usable is how much of its work an engine can be given before queues make first tokens late. Over nine tenths a few
-// arrivals together wait longer than their own reading takes; at 0.75 changes began where nothing was lost yet.
+// usable is how much of its work an engine can be given before queues make first tokens late. Over nine
+// tenths a few arrivals together wait longer than their own reading takes; at 0.75 changes began where
+// nothing was lost yet.
 const usable = 0.9
 
-// served is the value a second that a mix brings with so many engines in each role: routes of highest value first,
-// each as far as both roles have room.
+// served is the value a second that a mix brings with so many engines in each role: routes of highest value
+// first, each as far as both roles have room.
 func (m mix) served(readers, writers, readPace, writePace float64) (value float64) {
 	r, w := readers*readPace*usable, writers*writePace*usable
 	for _, f := range m {
@@ -133,7 +135,8 @@
 	return v
 }
 
-// fresh is how many engines come to a role, or came so late that what is lost now is still counted without them.
+// fresh is how many engines come to a role, or came so late that what is lost now is still counted without
+// them.
 func (c *Core) fresh(role string) (n float64) {
 	for _, id := range c.ids {
 		b := c.boxes[id]
@@ -144,8 +147,8 @@
 	return n
 }
 
-// supply counts engines of a role that serve, by weight, and those that are on the way to it. One that says nothing
-// is not counted: what it can do is not known.
+// supply counts engines of a role that serve, by weight, and those that are on the way to it. One that says
+// nothing is not counted: what it can do is not known.
 func (c *Core) supply(role string) (serve, coming float64) {
 	for _, id := range c.ids {
 		b := c.boxes[id]
@@ -175,11 +178,13 @@
 const (
 	// A shift is expected to last as long again as it has lasted, at most this: mixes change with matches.
 	longest = 2 * time.Minute
-	// How long it takes until a load that has turned is seen to have: what demand looks back on, and three reports.
+	// How long it takes until a load that has turned is seen to have: what demand looks back on, and three
+	// reports.
 	seen = 13 * time.Second
 	// Of all value, a hundredth is within the error of the estimate.
 	little = 0.01
-	// Of what is lost now, a change may be hoped to bring back this much more: counts of ten seconds are rough.
+	// Of what is lost now, a change may be hoped to bring back this much more: counts of ten seconds are
+	// rough.
 	hope = 1.5
 	// Nothing is decided on less than this: three reports.
 	atLeast = 3 * time.Second
@@ -194,8 +199,10 @@
 func (c *Core) decide() {
 	m, heard, known := c.demand()
 	paces := map[string]float64{planwire.Read: c.pace(planwire.Read), planwire.Write: c.pace(planwire.Write)}
-	x := Explained{At: c.now, Mix: m, Edges: heard, EdgesKnown: known, Need: map[string]float64{}, Serve: map[string]float64{},
-		Coming: map[string]float64{}, Pace: paces, Stopped: c.meta.Stopped || c.bounds.Off, Changing: c.changing()}
+	x := Explained{At: c.now, Mix: m, Edges: heard, EdgesKnown: known, Need: map[string]float64{},
+		Serve:  map[string]float64{},
+		Coming: map[string]float64{}, Pace: paces, Stopped: c.meta.Stopped || c.bounds.Off,
+		Changing: c.changing()}
 	for _, f := range m {
 		x.Need[planwire.Read] += f.Rate * f.Reads / max(paces[planwire.Read], 1)
 		x.Need[planwire.Write] += f.Rate * f.Writes / max(paces[planwire.Write], 1)
@@ -214,9 +221,11 @@
 	for i := range x.Weighed {
 		if w := &x.Weighed[i]; w.Why == "" {
 			w.Done, w.Why = true, "it is worth its cost"
-			c.change(c.boxes[w.Engine], fmt.Sprintf("%s has work for %.1f engines and %.1f, %s for %.1f and %.1f: %.2f of value a second gained for %.0f s, "+
-				"%.0f s more, cost %.2f", w.To, x.Need[w.To], x.Serve[w.To]+x.Coming[w.To], planwire.Other(w.To), x.Need[planwire.Other(w.To)],
-				x.Serve[planwire.Other(w.To)], w.Gain, w.For, w.Left, w.Cost))
+			c.change(c.boxes[w.Engine],
+				fmt.Sprintf("%s has work for %.1f engines and %.1f, %s for %.1f and %.1f: %.2f of value a second gained for %.0f s, "+
+					"%.0f s more, cost %.2f", w.To, x.Need[w.To], x.Serve[w.To]+x.Coming[w.To],
+					planwire.Other(w.To), x.Need[planwire.Other(w.To)],
+					x.Serve[planwire.Other(w.To)], w.Gain, w.For, w.Left, w.Cost))
 			break
 		}
 	}
@@ -228,9 +237,11 @@
 	from := planwire.Other(to)
 	w.To = to
 	value := func(p past, moved float64) float64 {
-		n := map[string]float64{to: x.Serve[to] + x.Coming[to] + moved, from: x.Serve[from] + x.Coming[from] - moved}
+		n := map[string]float64{to: x.Serve[to] + x.Coming[to] + moved, from: x.Serve[from] +
+			x.Coming[from] - moved}
 		all := p.mix.all()
-		return all - p.worse*(all-p.mix.served(n[planwire.Read], n[planwire.Write], paces[planwire.Read], paces[planwire.Write]))
+		return all - p.worse*(all-p.mix.served(n[planwire.Read], n[planwire.Write], paces[planwire.Read],
+			paces[planwire.Write]))
 	}
 	now := past{m, c.worse(m, x, paces)}
 	if len(m) == 0 || paces[planwire.Read] == 0 || paces[planwire.Write] == 0 {
@@ -241,10 +252,11 @@
 			return w
 		}
 	} else {
-		// What is reckoned may not be more than what edges lose by their counts: where nothing is lost, nothing is to be
-		// gained, however full a role looks.
-		// Engines that are on their way, or have come since, bring back a part of that already.
-		w.Gain = min(value(now, 1)-value(now, 0), hope*m.lost()-max(0, value(now, 0)-value(now, -c.fresh(to))))
+		// What is reckoned may not be more than what edges lose by their counts: where nothing is lost,
+		// nothing is to be gained, however full a role looks. Engines that are on their way, or have come
+		// since, bring back a part of that already.
+		w.Gain = min(value(now, 1)-value(now, 0), hope*m.lost()-max(0, value(now, 0)-value(now,
+			-c.fresh(to))))
 	}
 	w.Why = ""
 	if w.Gain <= 1e-9 {
@@ -265,7 +277,8 @@
 		}
 	}
 	w.Usual /= float64(max(turned, 1))
-	// How many engines have left the split that would have been best on average, this way: they all have to come back.
+	// How many engines have left the split that would have been best on average, this way: they all have to
+	// come back.
 	for ; away < x.Serve[to] && w.Mean < 0; away++ {
 		mean := 0.0
 		for _, h := range c.history {
@@ -282,7 +295,8 @@
 		return w
 	}
 	w.Engine, w.Lost = best.Engine, c.lost(best)
-	// While it changes, its old role lacks it and the new one does not have it yet; and its texts are read again.
+	// While it changes, its old role lacks it and the new one does not have it yet; and its texts are read
+	// again.
 	took := c.takes()
 	serving := func(less float64) float64 {
 		n := map[string]float64{to: x.Serve[to], from: x.Serve[from] - less}
@@ -291,13 +305,13 @@
 	w.Cost = max(0, serving(0)-serving(1)) * took
 	if all, need := 0.0, x.Need[planwire.Read]; need > 0 && from == planwire.Read {
 		all = m.all()
-		// Reading again is work that others could have used: a second of one reader is worth its part of all value, the
-		// more so the fuller readers are.
+		// Reading again is work that others could have used: a second of one reader is worth its part of all
+		// value, the more so the fuller readers are.
 		full := min(1, need/max(usable*(x.Serve[from]-1), 0.1))
 		w.Cost += w.Lost / max(paces[planwire.Read], 1) * all / need * full
 	}
-	// What is left of the shift, less the time until the engine serves; and once the load has turned, what its absence
-	// costs until it is seen and the engine is back.
+	// What is left of the shift, less the time until the engine serves; and once the load has turned, what
+	// its absence costs until it is seen and the engine is back.
 	w.Left = c.left(to, w.For)
 	gains := w.Gain*max(0, w.Left-took) + w.Usual*(took*(1+away/batch)+seen.Seconds())
 	// What would have been better under all mixes of the last minutes needs no forecast.
@@ -351,8 +365,8 @@
 	c.side, c.sideAt = side, c.now
 }
 
-// left is how long a shift to a role is expected to go on: as long as earlier ones that had lasted as long by then, or
-// as long again as it has lasted, if there was none.
+// left is how long a shift to a role is expected to go on: as long as earlier ones that had lasted as long by
+// then, or as long again as it has lasted, if there was none.
 func (c *Core) left(to string, longed float64) float64 {
 	if c.side != to {
 		return min(longed, longest.Seconds())
@@ -370,18 +384,19 @@
 	return min(float64(since)/1e9, longest.Seconds())
 }
 
-// past is a mix that was, and how many times more value was lost under it than is reckoned: routes do not lose in the
-// order of their value alone, and one with a short target is late first.
+// past is a mix that was, and how many times more value was lost under it than is reckoned: routes do not
+// lose in the order of their value alone, and one with a short target is late first.
 type past struct {
 	mix   mix
 	worse float64
 }
 
-// worse is that for the present: by edges' counts, against what the engines that serve would lose. From a third to four
-// times: beyond that the counts say more of other troubles than of roles.
+// worse is that for the present: by edges' counts, against what the engines that serve would lose. From a
+// third to four times: beyond that the counts say more of other troubles than of roles.
 func (c *Core) worse(m mix, x Explained, paces map[string]float64) float64 {
 	all := m.all()
-	reckoned := all - m.served(x.Serve[planwire.Read], x.Serve[planwire.Write], paces[planwire.Read], paces[planwire.Write])
+	reckoned := all - m.served(x.Serve[planwire.Read], x.Serve[planwire.Write], paces[planwire.Read],
+		paces[planwire.Write])
 	if reckoned < little*all {
 		return 1
 	}
@@ -449,8 +464,8 @@
 	return best, why
 }
 
-// lost is how many tokens of kept texts go with an engine: those that no other serving reader keeps are read again by
-// each edge's sessions, the rest costs a tenth, as its sessions must move.
+// lost is how many tokens of kept texts go with an engine: those that no other serving reader keeps are read
+// again by each edge's sessions, the rest costs a tenth, as its sessions must move.
 func (c *Core) lost(b *box) float64 {
 	if b.Role != planwire.Read {
 		return 0
@@ -460,7 +475,8 @@
 		copies := 0
 		for _, id := range c.ids {
 			o := c.boxes[id]
-			if _, ok := o.said.Hot[beginning]; ok && o.Role == planwire.Read && (o.State == Serving || o.State == Cold) {
+			if _, ok := o.said.Hot[beginning]; ok && o.Role == planwire.Read && (o.State == Serving ||
+				o.State == Cold) {
 				copies++
 			}
 		}
@@ -484,7 +500,8 @@
 	return row[len(row)/2]
 }
 
-// barred says why an engine may not change its role now, or nothing. It is the one gate of all changes, whoever asks.
+// barred says why an engine may not change its role now, or nothing. It is the one gate of all changes,
+// whoever asks.
 func (c *Core) barred(b *box) string {
 	switch {
 	case !b.present:
@@ -502,7 +519,8 @@
 	case c.mute(b):
 		return "nothing was heard of it"
 	case c.lag() > lagMost:
-		return fmt.Sprintf("reports are %v old: a change could not be followed", time.Duration(c.lag()).Round(100*time.Millisecond))
+		return fmt.Sprintf("reports are %v old: a change could not be followed",
+			time.Duration(c.lag()).Round(100*time.Millisecond))
 	case b.rest > 0 && c.now-b.rest < int64(c.bounds.Rest):
 		return fmt.Sprintf("it changed within the last %v", c.bounds.Rest)
 	}
@@ -531,8 +549,8 @@
 	return c.floors(b)
 }
 
-// floors keep each role, and within each zone and cell that has it, from being emptied: some must go on serving, and
-// two thirds of a cell's role are never away together.
+// floors keep each role, and within each zone and cell that has it, from being emptied: some must go on
+// serving, and two thirds of a cell's role are never away together.
 func (c *Core) floors(b *box) string {
 	count := func(in func(o *box) bool) (serve, away int) {
 		for _, id := range c.ids {
@@ -541,7 +559,8 @@
 				continue
 			}
 			switch {
-			case (o.State == Serving || o.State == Cold) && o.listed.Ready:
+			// One that was never heard of may turn out to have the other role, and one that is silent may be dead.
+			case (o.State == Serving || o.State == Cold) && o.listed.Ready && o.known && !c.mute(o):
 				serve++
 			case o.State != Serving && o.State != Cold:
 				away++
@@ -554,12 +573,17 @@
 	}
 	zones, cells := map[string]bool{}, map[string]bool{}
 	for _, id := range c.ids {
-		zones[c.boxes[id].listed.Zone], cells[c.boxes[id].listed.Zone+"/"+c.boxes[id].listed.Cell] = true, true
+		zones[c.boxes[id].listed.Zone], cells[c.boxes[id].listed.Zone+"/"+c.boxes[id].listed.Cell] = true,
+			true
 	}
-	if serve, _ := count(func(o *box) bool { return o.listed.Zone == b.listed.Zone }); len(zones) > 1 && serve < 2 {
+	if serve, _ := count(func(o *box) bool { return o.listed.Zone == b.listed.Zone }); len(zones) > 1 &&
+		serve < 2 {
 		return "it is the last of its role in its zone"
 	}
-	serve, away := count(func(o *box) bool { return o.listed.Zone == b.listed.Zone && o.listed.Cell == b.listed.Cell })
+	serve, away := count(func(o *box) bool {
+		return o.listed.Zone == b.listed.Zone &&
+			o.listed.Cell == b.listed.Cell
+	})
 	if len(cells) > 1 && serve < 2 {
 		return "it is the last of its role in its cell"
 	}
--- a/roles/demand.go
+++ b/roles/demand.go
@@ -28,8 +28,8 @@
 	routes []planwire.RouteCount // counted within dt
 }
 
-// How far back measurements go. Ten reports of a second: long enough that a swing of a few seconds evens out, short
-// enough that a shift shows within one switch.
+// How far back measurements go. Ten reports of a second: long enough that a swing of a few seconds evens out,
+// short enough that a shift shows within one switch.
 const (
 	partsKept   = 10
 	samplesKept = 16
@@ -37,20 +37,23 @@
 	knownFor    = int64(60 * time.Second) // and after this it is not expected any more
 )
 
-// measure takes what an engine did since its last report. A report of another life or role, or one that counts
-// backwards, begins anew.
+// measure takes what an engine did since its last report. A report of another life or role, or one that
+// counts backwards, begins anew.
 func (b *box) measure(r planwire.EngineReport, now int64) {
 	old := b.said
 	dt := now - b.saidAt
-	if b.saidAt == 0 || old.Life != r.Life || old.Role != r.Role || r.Read < old.Read || r.Written < old.Written || r.Busy < old.Busy || dt <= 0 {
+	if b.saidAt == 0 || old.Life != r.Life || old.Role != r.Role || r.Read < old.Read ||
+		r.Written < old.Written || r.Busy < old.Busy || dt <= 0 {
 		return
 	}
-	s := sample{at: now, dt: dt, work: r.Written - old.Written, busy: r.Busy - old.Busy, reads: r.Role == planwire.Read}
+	s := sample{at: now, dt: dt, work: r.Written - old.Written, busy: r.Busy - old.Busy,
+		reads: r.Role == planwire.Read}
 	if s.reads {
 		s.work = r.Read - old.Read
 	}
 	// Reports come four times a second; a second of them makes a sample.
-	if n := len(b.samples); n > 0 && b.samples[n-1].dt < int64(time.Second) && b.samples[n-1].reads == s.reads {
+	if n := len(b.samples); n > 0 && b.samples[n-1].dt < int64(time.Second) &&
+		b.samples[n-1].reads == s.reads {
 		l := &b.samples[n-1]
 		l.at, l.dt, l.work, l.busy = s.at, l.dt+s.dt, l.work+s.work, l.busy+s.busy
 		return
@@ -71,14 +74,17 @@
 	if e.at > 0 && e.said.Life == r.Life && c.now > e.at {
 		p := part{at: c.now, dt: c.now - e.at}
 		for _, t := range r.Routes {
-			i := slices.IndexFunc(e.said.Routes, func(o planwire.RouteCount) bool { return o.Route == t.Route })
+			i := slices.IndexFunc(e.said.Routes,
+				func(o planwire.RouteCount) bool { return o.Route == t.Route })
 			var o planwire.RouteCount
 			if i >= 0 {
 				o = e.said.Routes[i]
 			}
-			d := planwire.RouteCount{Route: t.Route, Arrived: t.Arrived - o.Arrived, Prompt: t.Prompt - o.Prompt, Began: t.Began - o.Began,
-				BegunFor: t.BegunFor - o.BegunFor, Ended: t.Ended - o.Ended, Answer: t.Answer - o.Answer, InTime: t.InTime - o.InTime,
-				Shed: t.Shed - o.Shed}
+			d := planwire.RouteCount{Route: t.Route, Arrived: t.Arrived - o.Arrived,
+				Prompt: t.Prompt - o.Prompt, Began: t.Began - o.Began,
+				BegunFor: t.BegunFor - o.BegunFor, Ended: t.Ended - o.Ended, Answer: t.Answer - o.Answer,
+				InTime: t.InTime - o.InTime,
+				Shed:   t.Shed - o.Shed}
 			if min(d.Arrived, d.Prompt, d.Began, d.BegunFor, d.Ended, d.Answer, d.InTime, d.Shed) < 0 {
 				continue // it counts backwards: no life does
 			}
@@ -102,8 +108,8 @@
 // mix is all of them, by route.
 type mix []flow
 
-// demand adds up what arrives. Edges that are not heard are taken to see as much as the others do on average, and no
-// edge counts for more than four times the middle one: a report may be wrong.
+// demand adds up what arrives. Edges that are not heard are taken to see as much as the others do on average,
+// and no edge counts for more than four times the middle one: a report may be wrong.
 func (c *Core) demand() (m mix, heard, known int) {
 	type sum struct{ arrived, prompt, ended, answer, lost float64 }
 	rates := map[string][]float64{}
@@ -130,7 +136,8 @@
 					sums[t.Route] = &sum{}
 				}
 				s := sums[t.Route]
-				s.arrived, s.prompt, s.ended, s.answer = s.arrived+t.Arrived, s.prompt+t.Prompt, s.ended+t.Ended, s.answer+t.Answer
+				s.arrived, s.prompt, s.ended, s.answer = s.arrived+t.Arrived, s.prompt+t.Prompt,
+					s.ended+t.Ended, s.answer+t.Answer
 				s.lost += t.Shed + max(0, t.Began-t.InTime)
 				read += t.BegunFor
 			}
@@ -142,8 +149,9 @@
 		}
 	}
 	if read, n := c.work(planwire.Read); begun > 0 && n > 0 {
-		// What is read of each prompt token. Readers and edges that are not heard are as the others are. A reader may
-		// read again what another kept, so more than all is possible; under a fiftieth is not believed.
+		// What is read of each prompt token. Readers and edges that are not heard are as the others are. A
+		// reader may read again what another kept, so more than all is possible; under a fiftieth is not
+		// believed.
 		all, _ := c.supply(planwire.Read)
 		read *= max(1, all/float64(n))
 		begun *= float64(known) / float64(heard)
@@ -175,12 +183,15 @@
 		}
 	}
 	// Those of highest value are served first, as the edges do.
-	slices.SortStableFunc(m, func(a, b flow) int { return cmp.Or(cmp.Compare(b.Value, a.Value), cmp.Compare(a.Route, b.Route)) })
+	slices.SortStableFunc(m, func(a, b flow) int {
+		return cmp.Or(cmp.Compare(b.Value, a.Value),
+			cmp.Compare(a.Route, b.Route))
+	})
 	return m, heard, known
 }
 
-// work is how many tokens a second all engines of a role do, and how many of them were heard. None counts for more
-// than four times the middle one.
+// work is how many tokens a second all engines of a role do, and how many of them were heard. None counts for
+// more than four times the middle one.
 func (c *Core) work(role string) (sum float64, n int) {
 	var row []float64
 	for _, id := range c.ids {
@@ -205,9 +216,9 @@
 	return sum, len(row)
 }
 
-// pace is how many tokens a second an engine of weight 1 does when it is busy: of each engine the second best of its
-// last samples, so that a slow spell that is shorter than they reach does not count as more demand, and one wrong
-// report does not count at all; of all engines the middle one.
+// pace is how many tokens a second an engine of weight 1 does when it is busy: of each engine the second best
+// of its last samples, so that a slow spell that is shorter than they reach does not count as more demand,
+// and one wrong report does not count at all; of all engines the middle one.
 func (c *Core) pace(role string) float64 {
 	var row []float64
 	for _, id := range c.ids {
@@ -229,7 +240,8 @@
 		c.paces[role] = row[len(row)/2]
 	}
 	if c.paces[role] == 0 {
-		c.paces[role] = map[string]float64{planwire.Read: c.bounds.ReadPace, planwire.Write: c.bounds.WritePace}[role]
+		c.paces[role] = map[string]float64{planwire.Read: c.bounds.ReadPace,
+			planwire.Write: c.bounds.WritePace}[role]
 	}
 	return c.paces[role]
 }
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,14 +14,17 @@
 )
 
 func testBounds() Bounds {
-	return Bounds{Drain: 4 * time.Second, Order: time.Second, Load: 3 * time.Second, Trial: time.Second, Cold: 2 * time.Second,
-		Rest: 2 * time.Second, Floor: 1, Changing: 0.25, PerMinute: 2, Grace: 100 * time.Millisecond, ReadPace: 1000, WritePace: 100}
+	return Bounds{Drain: 4 * time.Second, Order: time.Second, Load: 3 * time.Second, Trial: time.Second,
+		Cold: 2 * time.Second,
+		Rest: 2 * time.Second, Floor: 1, Changing: 0.25, PerMinute: 2, Grace: 100 * time.Millisecond,
+		ReadPace: 1000, WritePace: 100}
 }
 
 func boxesOf(n int) (row []Box) {
 	kinds := map[string]string{planwire.Read: "prefill", planwire.Write: "decode"}
 	for i := range n {
-		b := Box{Engine: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200+1), Role: planwire.Read, Cell: fmt.Sprint("c", i%max(1, n/10)), Weight: 1, Ready: true,
+		b := Box{Engine: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200+1), Role: planwire.Read,
+			Cell: fmt.Sprint("c", i%max(1, n/10)), Weight: 1, Ready: true,
 			CanChange: true, Kinds: kinds}
 		if i >= n/2 {
 			b.Role = planwire.Write
@@ -30,9 +34,9 @@
 	return row
 }
 
-// A planner among engines that answer, lie, vanish and restart at random keeps before it acts, never lists what is
-// changing, never lets an epoch go back, never takes a role's last engine by a change, and does the same again from
-// the same seed.
+// A planner among engines that answer, lie, vanish and restart at random keeps before it acts, never lists
+// what is changing, never lets an epoch go back, never takes a role's last engine by a change, and does the
+// same again from the same seed.
 func TestAnyHistoryKeepsTheGates(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 8).Draw(t, "engines")
@@ -60,12 +64,14 @@
 					}
 				case Publish:
 					for _, x := range e.Plan.Engines {
-						if r, ok := kept[x.Engine]; ok && x.State == roster.Ready && r.State != Serving && r.State != Cold {
+						if r, ok := kept[x.Engine]; ok && x.State == roster.Ready && r.State != Serving &&
+							r.State != Cold {
 							t.Fatalf("%s is listed as ready and is %s", x.Engine, r.State)
 						}
 					}
 				case Ask:
-					if r, ok := kept[e.Engine]; ok && max(r.Epoch, r.NextEpoch) < e.Order.Epoch || !ok && e.Order.Epoch > said[e.Engine].Epoch {
+					if r, ok := kept[e.Engine]; ok && max(r.Epoch, r.NextEpoch) < e.Order.Epoch || !ok &&
+						e.Order.Epoch > said[e.Engine].Epoch {
 						t.Fatalf("%s is asked for epoch %d, kept is %+v", e.Engine, e.Order.Epoch, r)
 					}
 					r := said[e.Engine]
@@ -117,7 +123,10 @@
 				step(func(c *Core) []Effect { return c.Step(now, EngineSaid{now - 1e6, lie}) })
 			case 5:
 				ok := rapid.Bool().Draw(t, "good")
-				step(func(c *Core) []Effect { return c.Step(now, Tried{engine, c.boxes[engine].trial, ok, "no"}) })
+				step(func(c *Core) []Effect {
+					return c.Step(now, Tried{engine, c.boxes[engine].trial, ok,
+						"no"})
+				})
 			case 6:
 				op := rapid.SampledFrom(planwire.Ops).Draw(t, "op")
 				o := planwire.Order{Op: op, Engine: engine}
@@ -127,8 +136,11 @@
 				step(func(c *Core) []Effect { _, effects, _ := c.Order(now, o); return effects })
 			case 7:
 				step(func(c *Core) []Effect {
-					return c.Step(now, EdgeSaid{planwire.EdgeReport{Edge: "e", Life: 1, Routes: []planwire.RouteCount{{Route: "a",
-						Arrived: float64(now-int64(1000*time.Second)) / 1e8, Prompt: float64(now-int64(1000*time.Second)) / 1e5, Shed: float64(now-int64(1000*time.Second)) / 1e9}}}})
+					return c.Step(now, EdgeSaid{planwire.EdgeReport{Edge: "e", Life: 1,
+						Routes: []planwire.RouteCount{{Route: "a",
+							Arrived: float64(now-int64(1000*time.Second)) / 1e8,
+							Prompt:  float64(now-int64(1000*time.Second)) / 1e5,
+							Shed:    float64(now-int64(1000*time.Second)) / 1e9}}}})
 				})
 			default:
 				step(func(c *Core) []Effect { return c.Step(now, Tick{}) })
@@ -143,13 +155,17 @@
 				said[x.Engine] = r
 				step(func(c *Core) []Effect { return c.Step(now, EngineSaid{now - 1e6, r}) })
 				if a.boxes[x.Engine].State == Trying {
-					step(func(c *Core) []Effect { return c.Step(now, Tried{x.Engine, c.boxes[x.Engine].trial, true, ""}) })
+					step(func(c *Core) []Effect {
+						return c.Step(now, Tried{x.Engine,
+							c.boxes[x.Engine].trial, true, ""})
+					})
 				}
 			}
 			step(func(c *Core) []Effect { return c.Step(now, Tick{}) })
 		}
 		for _, s := range a.Show() { // those that drain or are ordered may have begun just now
-			if s.State != Serving && s.State != Cold && s.State != Draining && s.State != Ordered && s.State != Aside {
+			if s.State != Serving && s.State != Cold && s.State != Draining && s.State != Ordered &&
+				s.State != Aside {
 				t.Fatalf("%s is still %s: %s", s.Engine, s.State, s.Trouble)
 			}
 		}
@@ -173,7 +189,8 @@
 	boxes := boxesOf(8)
 	c.Step(now, Listed{boxes})
 	for i, b := range boxes {
-		r := planwire.EngineReport{Engine: b.Engine, Role: b.Role, Epoch: 1, Life: 1, Kept: 1000, Hot: map[string]float64{"common": 500}}
+		r := planwire.EngineReport{Engine: b.Engine, Role: b.Role, Epoch: 1, Life: 1, Kept: 1000,
+			Hot: map[string]float64{"common": 500}}
 		if i != 2 {
 			r.Hot[fmt.Sprint("only", i)] = 9000
 		}
@@ -184,12 +201,29 @@
 	}
 }
 
+// Found by a random history: the last writer that was heard of moved, as another had only been listed; that one then said
+// that it reads.
+func TestEngineThatWasNeverHeardOfIsNoFloor(t *testing.T) {
+	now := int64(1000 * time.Second)
+	c := New(testBounds(), 1, now, nil, Meta{})
+	boxes := boxesOf(4)
+	c.Step(now, Listed{boxes})
+	for _, b := range boxes[:3] {
+		c.Step(now, EngineSaid{now, planwire.EngineReport{Engine: b.Engine, Role: b.Role, Epoch: 1, Life: 1}})
+	}
+	_, _, err := c.Order(now, planwire.Order{Op: "move", Engine: boxes[2].Engine})
+	if err == nil || !strings.Contains(err.Error(), "must stay") {
+		t.Errorf("moved: %v", err)
+	}
+}
+
 // A planner whose clock was set back does not make a step's time endless, nor one set forward lose a change.
 func TestClocksThatDiffer(t *testing.T) {
 	for _, by := range []time.Duration{-time.Hour, 5 * time.Second, time.Hour} {
 		now := int64(10_000 * time.Second)
 		boxes := boxesOf(4)
-		c := New(testBounds(), 2, now+int64(by), []Record{{Engine: boxes[0].Engine, Role: planwire.Read, Epoch: 1, State: Ordered, Next: planwire.Write,
+		c := New(testBounds(), 2, now+int64(by), []Record{{Engine: boxes[0].Engine, Role: planwire.Read,
+			Epoch: 1, State: Ordered, Next: planwire.Write,
 			NextEpoch: 2, Since: now}}, Meta{Number: 5})
 		at := now + int64(by)
 		c.Step(at, Listed{boxes})
@@ -224,12 +258,16 @@
 	for n := range b.N {
 		for i, x := range boxes {
 			now += int64(time.Second) / 300
-			c.Step(now, EngineSaid{now, planwire.EngineReport{Engine: x.Engine, Role: x.Role, Epoch: 1, Life: 1, Read: float64(n * 900), Written: float64(n * 90),
+			c.Step(now, EngineSaid{now, planwire.EngineReport{Engine: x.Engine, Role: x.Role, Epoch: 1,
+				Life: 1, Read: float64(n * 900), Written: float64(n * 90),
 				Busy: float64(n), Hot: map[string]float64{"a": 1, fmt.Sprint(i): 2}}})
 			v := float64(n * 10)
-			c.Step(now, EdgeSaid{planwire.EdgeReport{Edge: fmt.Sprint("edge", i), Life: 1, Routes: []planwire.RouteCount{
-				{Route: "a", Arrived: v, Prompt: 300 * v, Began: v, BegunFor: 300 * v, Ended: v, Answer: 50 * v, InTime: v},
-				{Route: "b", Arrived: v, Prompt: 900 * v, Began: v, BegunFor: 900 * v, Ended: v, Answer: 90 * v, InTime: v, Shed: v / 10}}}})
+			c.Step(now, EdgeSaid{planwire.EdgeReport{Edge: fmt.Sprint("edge", i), Life: 1,
+				Routes: []planwire.RouteCount{
+					{Route: "a", Arrived: v, Prompt: 300 * v, Began: v, BegunFor: 300 * v, Ended: v,
+						Answer: 50 * v, InTime: v},
+					{Route: "b", Arrived: v, Prompt: 900 * v, Began: v, BegunFor: 900 * v, Ended: v,
+						Answer: 90 * v, InTime: v, Shed: v / 10}}}})
 			if i%30 == 0 {
 				c.Step(now, Tick{})
 			}
--- a/roles/table.go
+++ b/roles/table.go
@@ -1,6 +1,6 @@
-// Package roles decides which engine changes between reading and writing, when, and how, so that nothing is stranded
-// and no send meets an engine in the wrong role. It does no I/O: reports, orders and the time go in through Step, and
-// what is to be kept, published and asked comes out.
+// Package roles decides which engine changes between reading and writing, when, and how, so that nothing is
+// stranded and no send meets an engine in the wrong role. It does no I/O: reports, orders and the time go in
+// through Step, and what is to be kept, published and asked comes out.
 package roles
 
 import (
@@ -52,9 +52,9 @@
 	effect func(*Core, *box)
 }
 
-// table lists, for a state and an input, the next state and the effect. Every state but Serving has a time-out with a
-// way back, so that no change can be stranded; the way back of an order that may have been taken is another order
-// under a higher epoch, never a guess that it was lost.
+// table lists, for a state and an input, the next state and the effect. Every state but Serving has a
+// time-out with a way back, so that no change can be stranded; the way back of an order that may have been
+// taken is another order under a higher epoch, never a guess that it was lost.
 var table = []rule{
 	{[]State{Serving}, chosen, Draining, (*Core).begin},
 	{[]State{Draining}, empty, Ordered, (*Core).order},
@@ -133,7 +133,8 @@
 	c.ask(b)
 }
 
-// recall asks for the role that the engine had last for sure, under an epoch over all that it may have heard of.
+// recall asks for the role that the engine had last for sure, under an epoch over all that it may have heard
+// of.
 func (c *Core) recall(b *box) {
 	b.Next, b.NextEpoch, b.rest = b.Role, max(b.Epoch, b.NextEpoch, b.said.Epoch)+1, c.now
 	c.publish = true
@@ -165,8 +166,9 @@
 func (c *Core) setAside(b *box) {
 	b.tries++
 	c.publish = true
-	c.out = append(c.out, Tell{fmt.Sprintf("%s is set aside: %s; it is asked again after %v, or by an operator's readmit",
-		b.Engine, b.trouble, c.resting(b))})
+	c.out = append(c.out,
+		Tell{fmt.Sprintf("%s is set aside: %s; it is asked again after %v, or by an operator's readmit",
+			b.Engine, b.trouble, c.resting(b))})
 }
 
 // resting doubles with each time that an engine is set aside, up to sixteenfold.
--- a/settings/planner.go
+++ b/settings/planner.go
@@ -38,9 +38,11 @@
 
 // PlanningDefaults are those of a script that names only its files and kinds.
 func PlanningDefaults() *Planning {
-	return &Planning{Listen: "127.0.0.1:9090", Store: "planner.db", Roles: roles.Bounds{Drain: 20 * time.Second, Order: 3 * time.Second,
-		Load: 2 * time.Minute, Trial: 5 * time.Second, Cold: 12 * time.Second, Rest: 30 * time.Second, Floor: 1, Changing: 0.1, PerMinute: 0.25,
-		Grace: 250 * time.Millisecond, Values: map[string]float64{}}}
+	return &Planning{Listen: "127.0.0.1:9090", Store: "planner.db",
+		Roles: roles.Bounds{Drain: 20 * time.Second, Order: 3 * time.Second,
+			Load: 2 * time.Minute, Trial: 5 * time.Second, Cold: 12 * time.Second, Rest: 30 * time.Second,
+			Floor: 1, Changing: 0.1, PerMinute: 0.25,
+			Grace: 250 * time.Millisecond, Values: map[string]float64{}}}
 }
 
 // ReadPlanner runs a planner's script. The error, if any, is of type script.Faults.
@@ -52,12 +54,14 @@
 	calls := map[string]script.Call{
 		"kind": kinds.Calls()["kind"],
 		"planner": func() ([]script.Key, func(fault)) {
-			return []script.Key{{Name: "listen", To: &p.Listen, Address: true}, {Name: "store", To: &p.Store, Need: true},
+			return []script.Key{{Name: "listen", To: &p.Listen, Address: true},
+				{Name: "store", To: &p.Store, Need: true},
 				{Name: "roster", To: &p.Roster, Need: true}}, nil
 		},
 		"pair": func() ([]script.Key, func(fault)) {
 			var pair [2]string
-			return []script.Key{{Name: "read", To: &pair[0], Need: true}, {Name: "write", To: &pair[1], Need: true}},
+			return []script.Key{{Name: "read", To: &pair[0], Need: true},
+					{Name: "write", To: &pair[1], Need: true}},
 				func(say fault) {
 					for i, role := range []string{"read", "write"} {
 						if pair[i] != "" && kinds.Role(pair[i]) != role {
@@ -72,18 +76,24 @@
 		},
 		"value": func() ([]script.Key, func(fault)) {
 			route, value := "", 1.0
-			return []script.Key{{Name: "route", To: &route, Need: true}, {Name: "value", To: &value, Min: 0.001, Max: 1e6, Need: true}},
+			return []script.Key{{Name: "route", To: &route, Need: true},
+					{Name: "value", To: &value, Min: 0.001, Max: 1e6, Need: true}},
 				func(fault) { r.Values[route] = value }
 		},
 		"changes": func() ([]script.Key, func(fault)) {
 			explain := false
-			return []script.Key{{Name: "drain_time", To: &r.Drain, Min: 0.1, Max: 3600}, {Name: "order_time", To: &r.Order, Min: 0.1, Max: 600},
-				{Name: "load_time", To: &r.Load, Min: 0.1, Max: 7200}, {Name: "trial_time", To: &r.Trial, Min: 0.1, Max: 600},
+			return []script.Key{{Name: "drain_time", To: &r.Drain, Min: 0.1, Max: 3600},
+				{Name: "order_time", To: &r.Order, Min: 0.1, Max: 600},
+				{Name: "load_time", To: &r.Load, Min: 0.1, Max: 7200},
+				{Name: "trial_time", To: &r.Trial, Min: 0.1, Max: 600},
 				{Name: "cold", To: &r.Cold, Max: 600}, {Name: "rest", To: &r.Rest, Min: 0.1, Max: 86400},
-				{Name: "floor", To: &r.Floor, Min: 1, Max: 10000}, {Name: "share", To: &r.Changing, Min: 0.001, Max: 0.5},
+				{Name: "floor", To: &r.Floor, Min: 1, Max: 10000},
+				{Name: "share", To: &r.Changing, Min: 0.001, Max: 0.5},
 				{Name: "per_minute", To: &r.PerMinute, Min: 0.001, Max: 10},
-				{Name: "drain_grace", To: &r.Grace, Min: 0.05, Max: 60}, {Name: "read_pace", To: &r.ReadPace, Max: 1e9},
-				{Name: "write_pace", To: &r.WritePace, Max: 1e9}, {Name: "explain_only", To: &explain}}, func(fault) { r.Off = explain }
+				{Name: "drain_grace", To: &r.Grace, Min: 0.05, Max: 60},
+				{Name: "read_pace", To: &r.ReadPace, Max: 1e9},
+				{Name: "write_pace", To: &r.WritePace, Max: 1e9},
+				{Name: "explain_only", To: &explain}}, func(fault) { r.Off = explain }
 		},
 	}
 	err := script.Run(name, text, calls, func(say func(format string, args ...any)) {
--- a/standin/engine/role.go
+++ b/standin/engine/role.go
@@ -19,8 +19,10 @@
 	}
 	e.report(w)
 	e.mu.Lock()
-	p := planwire.EngineReport{Role: e.claims, Epoch: e.epoch, Term: e.term, Life: e.lives, Changing: e.loading, Draining: e.leaving,
-		Read: e.readTokens, Written: e.written, Busy: e.busy, Open: e.open, Held: len(e.states), Hot: map[string]float64{}}
+	p := planwire.EngineReport{Role: e.claims, Epoch: e.epoch, Term: e.term, Life: e.lives,
+		Changing: e.loading, Draining: e.leaving,
+		Read: e.readTokens, Written: e.written, Busy: e.busy, Open: e.open, Held: len(e.states),
+		Hot: map[string]float64{}}
 	if !e.began.IsZero() {
 		p.UpFor = max(1, time.Since(e.began).Milliseconds())
 	}
@@ -37,7 +39,8 @@
 	json.NewEncoder(w).Encode(p)
 }
 
-// serveRole follows a planner's orders: drains and their end under its present epoch, and under a higher one a change.
+// serveRole follows a planner's orders: drains and their end under its present epoch, and under a higher one
+// a change.
 func (e *Engine) serveRole(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<13))
 	if err != nil || !e.hush(r.Context(), silent) {
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -1,5 +1,6 @@
-// Package sway is a fleet in simulated time whose load tilts between reading and writing. The real roles decide, or a
-// baseline does; queues, engines and edges are a fluid: shares of inferences, not single ones. It does no I/O.
+// Package sway is a fleet in simulated time whose load tilts between reading and writing. The real roles
+// decide, or a baseline does; queues, engines and edges are a fluid: shares of inferences, not single ones.
+// It does no I/O.
 package sway
 
 import (
@@ -74,8 +75,10 @@
 // Routes are two: a cheap one of long texts, a dear one of short.
 func Routes() []Route {
 	return []Route{
-		{Name: "fan-alert", Share: 0.4, Reads: 300, Writes: 60, Value: 5, Target: 0.8, ReadsTilted: 1500, WriteTilted: 150},
-		{Name: "clip-summary", Share: 0.6, Reads: 1200, Writes: 100, Value: 1, Target: 1.5, ReadsTilted: 4000, WriteTilted: 250},
+		{Name: "fan-alert", Share: 0.4, Reads: 300, Writes: 60, Value: 5, Target: 0.8, ReadsTilted: 1500,
+			WriteTilted: 150},
+		{Name: "clip-summary", Share: 0.6, Reads: 1200, Writes: 100, Value: 1, Target: 1.5,
+			ReadsTilted: 4000, WriteTilted: 250},
 	}
 }
 
@@ -136,7 +139,8 @@
 	return r.Reads + max(tilt, 0)*(r.ReadsTilted-r.Reads), r.Writes + max(-tilt, 0)*(r.WriteTilted-r.Writes)
 }
 
-// rate is how many inferences a second arrive: Load of what all engines could do with the best split of roles.
+// rate is how many inferences a second arrive: Load of what all engines could do with the best split of
+// roles.
 func (f *fleet) rate() float64 {
 	r, w := 0.0, 0.0
 	for _, t := range f.routes {
@@ -148,7 +152,8 @@
 
 // Run plays a day.
 func Run(d Day, arm Arm) Result {
-	f := &fleet{d: d, routes: Routes(), arm: arm, rng: rand.New(rand.NewPCG(d.Seed, 11)), plan: map[string]planwire.Engine{}}
+	f := &fleet{d: d, routes: Routes(), arm: arm, rng: rand.New(rand.NewPCG(d.Seed, 11)),
+		plan: map[string]planwire.Engine{}}
 	f.result.Recover = -1
 	readers := d.Readers
 	if arm.Readers > 0 {
@@ -156,8 +161,9 @@
 	}
 	var boxes []roles.Box
 	for i := range d.Engines {
-		m := &machine{name: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250+1), role: planwire.Write, epoch: 1, began: -1,
-			cell: fmt.Sprint("c", i%max(1, d.Cells))}
+		m := &machine{name: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250+1), role: planwire.Write, epoch: 1,
+			began: -1,
+			cell:  fmt.Sprint("c", i%max(1, d.Cells))}
 		if i < readers {
 			m.role = planwire.Read
 		}
@@ -168,7 +174,8 @@
 		if m.canChange {
 			kinds = map[string]string{planwire.Read: planwire.Read, planwire.Write: planwire.Write}
 		}
-		boxes = append(boxes, roles.Box{Engine: m.name, Role: m.role, Cell: m.cell, Weight: 1, Ready: true, CanChange: m.canChange, Kinds: kinds})
+		boxes = append(boxes, roles.Box{Engine: m.name, Role: m.role, Cell: m.cell, Weight: 1, Ready: true,
+			CanChange: m.canChange, Kinds: kinds})
 		f.plan[m.name] = planwire.Engine{Engine: m.name, Kind: m.role, State: "ready", Epoch: 1}
 	}
 	for _, r := range f.routes {
@@ -179,8 +186,10 @@
 		for _, r := range f.routes {
 			values[r.Name] = r.Value
 		}
-		f.core = roles.New(roles.Bounds{Drain: 20 * time.Second, Order: 3 * time.Second, Load: 2*d.Reload + 10*time.Second, Trial: 5 * time.Second,
-			Cold: d.Cold, Rest: 30 * time.Second, Floor: 1, Changing: 0.1, PerMinute: 0.25, Grace: 250 * time.Millisecond, ReadPace: readPace,
+		f.core = roles.New(roles.Bounds{Drain: 20 * time.Second, Order: 3 * time.Second, Load: 2*d.Reload +
+			10*time.Second, Trial: 5 * time.Second,
+			Cold: d.Cold, Rest: 30 * time.Second, Floor: 1, Changing: 0.1, PerMinute: 0.25,
+			Grace: 250 * time.Millisecond, ReadPace: readPace,
 			WritePace: writePace, Values: values}, 1, f.clock(), nil, roles.Meta{})
 		f.carryOut(f.core.Step(f.clock(), roles.Listed{Boxes: boxes}))
 	}
@@ -189,7 +198,8 @@
 	f.result.Worst = 1
 	first := time.Duration(float64(d.Period) / 8)
 	for f.now = 0; f.now < d.Length; f.now += step {
-		if d.Dies > 0 && f.now >= time.Duration(d.Dies*float64(d.Length)) && f.now < time.Duration(d.Dies*float64(d.Length))+step {
+		if d.Dies > 0 && f.now >= time.Duration(d.Dies*float64(d.Length)) &&
+			f.now < time.Duration(d.Dies*float64(d.Length))+step {
 			f.die(boxes)
 		}
 		f.deliver()
@@ -241,18 +251,20 @@
 	}
 }
 
-// serves is the part of its power that an engine has for a role, as edges know it: they send by their plan, and the
-// engine takes only what fits its epoch.
+// serves is the part of its power that an engine has for a role, as edges know it: they send by their plan,
+// and the engine takes only what fits its epoch.
 func (f *fleet) serves(m *machine, role string) float64 {
 	p, ok := f.plan[m.name]
-	if m.out || m.loading || m.leaving || m.role != role || !ok || p.State != "ready" || p.Kind != role || p.Epoch != 0 && p.Epoch != m.epoch {
+	if m.out || m.loading || m.leaving || m.role != role || !ok || p.State != "ready" || p.Kind != role ||
+		p.Epoch != 0 && p.Epoch != m.epoch {
 		return 0
 	}
 	part := 1.0
 	if m.began >= 0 && f.now-m.began < f.d.Cold { // a cold one does a quarter at first
 		part = 0.25 + 0.75*float64(f.now-m.began)/float64(f.d.Cold)
 	}
-	if at := float64(f.now) / float64(f.d.Length); role == planwire.Write && at >= f.d.Slow[0] && at < f.d.Slow[1] {
+	if at := float64(f.now) / float64(f.d.Length); role == planwire.Write && at >= f.d.Slow[0] &&
+		at < f.d.Slow[1] {
 		part /= 2
 	}
 	return part
@@ -265,7 +277,8 @@
 	return sum
 }
 
-// arrive lets a step's inferences come. Edges take what can be in time, of high value for longer, as the module does.
+// arrive lets a step's inferences come. Edges take what can be in time, of high value for longer, as the
+// module does.
 func (f *fleet) arrive() (offered, got float64) {
 	readers, writers := f.power(planwire.Read)*readPace, f.power(planwire.Write)*writePace
 	n := f.rate() * step.Seconds()
@@ -351,7 +364,8 @@
 }
 
 func (f *fleet) report(m *machine) planwire.EngineReport {
-	r := planwire.EngineReport{Engine: m.name, Role: m.claims, Epoch: m.epoch, Term: m.term, Life: 1, Changing: m.loading, Draining: m.leaving,
+	r := planwire.EngineReport{Engine: m.name, Role: m.claims, Epoch: m.epoch, Term: m.term, Life: 1,
+		Changing: m.loading, Draining: m.leaving,
 		Read: m.read, Written: m.written, Busy: m.busy}
 	if m.began >= 0 {
 		r.UpFor = (f.now - m.began).Milliseconds() + 1
@@ -390,8 +404,10 @@
 		r := planwire.EdgeReport{Edge: fmt.Sprint("edge", e), Life: 1}
 		for _, c := range f.counts {
 			part := 1 / float64(f.d.Edges)
-			r.Routes = append(r.Routes, planwire.RouteCount{Route: c.Route, Arrived: c.Arrived * part, Prompt: c.Prompt * part, Began: c.Began * part,
-				BegunFor: c.BegunFor * part, Ended: c.Ended * part, Answer: c.Answer * part, InTime: c.InTime * part, Shed: c.Shed * part})
+			r.Routes = append(r.Routes, planwire.RouteCount{Route: c.Route, Arrived: c.Arrived * part,
+				Prompt: c.Prompt * part, Began: c.Began * part,
+				BegunFor: c.BegunFor * part, Ended: c.Ended * part, Answer: c.Answer * part,
+				InTime: c.InTime * part, Shed: c.Shed * part})
 		}
 		f.later(func() { f.carryOut(f.core.Step(f.clock(), roles.EdgeSaid{Report: r})) })
 	}
@@ -438,8 +454,8 @@
 	}
 }
 
-// threshold is the plain baseline: every five seconds, if one role has more than eight tenths of its work for the last
-// of them and the other less than half, one engine changes.
+// threshold is the plain baseline: every five seconds, if one role has more than eight tenths of its work for
+// the last of them and the other less than half, one engine changes.
 func (f *fleet) threshold() {
 	for _, m := range f.engines {
 		if m.leaving && f.now >= m.until {
