edge: the owner stops before the sockets' library, which must not be stopped under a dial

The race detector saw it once: a last try to let go of a state dialled while the engine side was being stopped. Tests of stops, drains and silence pass under the race detector.

--- a/edge/node.go
+++ b/edge/node.go
@@ -262,11 +262,12 @@
 func (n *Node) Stop() {
 	n.cancel()
 	n.chat.Close()
-	n.front.Stop()
-	n.back.Stop()
+	// The owner first: it dials, and the socket library must not be stopped under a dial.
 	close(n.done)
 	n.in.close()
 	n.over.Wait()
+	n.front.Stop()
+	n.back.Stop()
 }
 
 // connOpened and connUsed order what is written of a connection when it opens before what its poller reads of
