One check of engine entries, one spread over cores; dead code removed

Plans checked engine entries with a copy of the roster's own check; both call roster.Check now. Fields and a method that nobody read are gone.

--- a/cmd/sandcourse/lab.go
+++ b/cmd/sandcourse/lab.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"runtime"
 	"strings"
-	"sync"
 
 	"github.com/spf13/cobra"
 	"gonum.org/v1/plot"
@@ -55,21 +53,15 @@
 // playArms plays all days, spread over cores; each is one owner's and the same wherever it runs.
 func playArms(x *lab.Experiment) [][]lab.Result {
 	results := make([][]lab.Result, len(x.Arms))
-	var all sync.WaitGroup
-	room := make(chan struct{}, runtime.NumCPU())
-	for i, a := range x.Arms {
+	for i := range results {
 		results[i] = make([]lab.Result, x.Seeds)
-		for s := range x.Seeds {
-			all.Go(func() {
-				room <- struct{}{}
-				defer func() { <-room }()
-				d := a.Change
-				d.Seed = uint64(s + 1)
-				results[i][s] = lab.Run(d)
-			})
-		}
 	}
-	all.Wait()
+	onAllCores(len(x.Arms)*x.Seeds, func(n int) {
+		i, s := n/x.Seeds, n%x.Seeds
+		d := x.Arms[i].Change
+		d.Seed = uint64(s + 1)
+		results[i][s] = lab.Run(d)
+	})
 	return results
 }
 
--- a/cmd/sandcourse/sweep.go
+++ b/cmd/sandcourse/sweep.go
@@ -118,20 +118,28 @@
 
 // runDays plays all on all cores; each day is deterministic by itself.
 func runDays(days []todo) {
+	onAllCores(len(days), func(i int) {
+		t := days[i]
+		begun := time.Now()
+		t.p.arms["roles"][t.seed] = sway.Run(t.d, sway.Arm{Roles: true})
+		if t.seed == 0 {
+			t.p.took = time.Since(begun)
+		}
+		t.p.arms["best fixed"][t.seed], t.p.best[t.seed] = sway.Best(t.d)
+		t.p.arms["fixed at start"][t.seed] = sway.Run(t.d, sway.Arm{})
+		t.p.arms["threshold"][t.seed] = sway.Run(t.d, sway.Arm{Plain: true})
+	})
+}
+
+// onAllCores does n things that have nothing to do with each other, as many at once as there are cores.
+func onAllCores(n int, do func(i int)) {
 	var all sync.WaitGroup
 	room := make(chan struct{}, runtime.NumCPU())
-	for _, t := range days {
+	for i := range n {
 		all.Go(func() {
 			room <- struct{}{}
 			defer func() { <-room }()
-			begun := time.Now()
-			t.p.arms["roles"][t.seed] = sway.Run(t.d, sway.Arm{Roles: true})
-			if t.seed == 0 {
-				t.p.took = time.Since(begun)
-			}
-			t.p.arms["best fixed"][t.seed], t.p.best[t.seed] = sway.Best(t.d)
-			t.p.arms["fixed at start"][t.seed] = sway.Run(t.d, sway.Arm{})
-			t.p.arms["threshold"][t.seed] = sway.Run(t.d, sway.Arm{Plain: true})
+			do(i)
 		})
 	}
 	all.Wait()
--- a/plan/store.go
+++ b/plan/store.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"os"
 	"runtime/debug"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -221,6 +219,3 @@
 
 // Close gives the store free.
 func (s *Store) Close() error { return s.db.Close() }
-
-// Faulty joins what was told of a store.
-func (k Kept) Faulty() string { return strings.Join(slices.Clone(k.Faults), "; ") }
--- a/planwire/planwire.go
+++ b/planwire/planwire.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net/netip"
 
 	"sandcourse/roster"
 )
@@ -171,20 +170,14 @@
 	if p.Term < 1 || p.Number < 1 || p.Engines == nil {
 		return p, fmt.Errorf("plan: it needs a term and a number over 0, and engines")
 	}
-	seen := map[string]bool{}
 	for i, e := range p.Engines {
-		at, err := netip.ParseAddrPort(e.Engine)
-		switch {
-		case err != nil || at.Port() == 0:
-			return p, fmt.Errorf("plan: engines[%d].engine: %q is not address:port", i, e.Engine)
-		case seen[e.Engine]:
-			return p, fmt.Errorf("plan: engines[%d].engine: %s is listed twice", i, e.Engine)
-		case e.Kind == "" || e.State != roster.Ready && e.State != roster.Draining:
-			return p, fmt.Errorf("plan: engines[%d]: kind %q, state %q", i, e.Kind, e.State)
-		case e.Epoch < 0 || e.UpFor < 0 || !sane(e.Weight):
-			return p, fmt.Errorf("plan: engines[%d]: epoch, up_for_ms and weight must not be negative", i)
+		if e.UpFor < 0 || !sane(e.Weight) {
+			return p, fmt.Errorf("plan: engines[%d]: up_for_ms or weight is out of range", i)
 		}
-		seen[e.Engine] = true
+	}
+	// The entries as a node takes them; the time only has to lie after all that they have been up for.
+	if err := roster.Check(p.List(math.MaxInt64).Engines); err != nil {
+		return p, fmt.Errorf("plan: %w", err)
 	}
 	return p, nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -64,24 +64,29 @@
 	if list.Engines == nil {
 		return list, errors.New("list has no engines field; an empty one is written []")
 	}
+	return list, Check(list.Engines)
+}
+
+// Check looks at each entry of a list, whoever brings it.
+func Check(engines []Entry) error {
 	seen := map[string]bool{}
-	for i, e := range list.Engines {
+	for i, e := range engines {
 		at, err := netip.ParseAddrPort(e.Engine)
 		switch {
 		case err != nil || at.Port() == 0:
-			return list, fmt.Errorf("engines[%d].engine: %q is not address:port", i, e.Engine)
+			return fmt.Errorf("engines[%d].engine: %q is not address:port", i, e.Engine)
 		case seen[e.Engine]:
-			return list, fmt.Errorf("engines[%d].engine: %s is listed twice", i, e.Engine)
+			return fmt.Errorf("engines[%d].engine: %s is listed twice", i, e.Engine)
 		case e.Kind == "":
-			return list, fmt.Errorf("engines[%d].kind is missing", i)
+			return fmt.Errorf("engines[%d].kind is missing", i)
 		case e.State != Ready && e.State != Draining:
-			return list, fmt.Errorf("engines[%d].state: %q is not %s or %s", i, e.State, Ready, Draining)
+			return fmt.Errorf("engines[%d].state: %q is not %s or %s", i, e.State, Ready, Draining)
 		case e.Weight < 0 || e.UpSince < 0 || e.Epoch < 0:
-			return list, fmt.Errorf("engines[%d]: weight, up_since_ms and epoch must not be negative", i)
+			return fmt.Errorf("engines[%d]: weight, up_since_ms and epoch must not be negative", i)
 		}
 		seen[e.Engine] = true
 	}
-	return list, nil
+	return nil
 }
 
 // Write puts a list in place of the file at path, whole or not at all.
--- a/sway/sway.go
+++ b/sway/sway.go
@@ -22,7 +22,6 @@
 	Writes      float64
 	Value       float64
 	Target      float64 // seconds to the first token
-	Retriable   bool
 	ReadsTilted float64 // of an inference when the load is tilted all the way to reading
 	WriteTilted float64 // and all the way to writing
 }
@@ -61,7 +60,6 @@
 	Lost    float64   `json:"lost"`    // engine-seconds out of service for changes, of all
 	Readers []float64 `json:"-"`       // serving, every second
 	Window  []float64 `json:"-"`       // value share, every ten seconds
-	CPU     float64   `json:"-"`
 	Recover float64   `json:"recover"` // seconds from the first tilt until nine tenths of value are in time again; -1 for never
 }
 
