--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,107 @@
+// Package catalog is the state of the platform's discovery as one node has heard it: whole lists and changes go in,
+// the present list comes out. It does no I/O.
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"sandcourse/roster"
+)
+
+// MaxAnswer is the most bytes of an answer: ten thousand engines have about three million.
+const MaxAnswer = 4 << 20
+
+// The words of an entry's state.
+const (
+	serving  = "SERVING"
+	draining = "DRAINING"
+	deleted  = "DELETED"
+)
+
+// Catalog is what is known. The zero value knows nothing.
+type Catalog struct {
+	generation int64
+	engines    map[string]roster.Entry
+}
+
+type entry struct {
+	ID      string      `json:"instanceId"`
+	Host    string      `json:"hostPort"`
+	Zone    string      `json:"zone"`
+	Kind    string      `json:"machineType"`
+	Cell    json.Number `json:"cell"`
+	State   string      `json:"lifecycle"`
+	Weight  float64     `json:"weight"`
+	Started int64       `json:"startedAtMs"`
+}
+
+// Take takes an answer of discovery. News says whether anything may have changed. An entry that makes no sense is
+// left out, as if it were gone, and named in odd: one bad line must not hide the drain of another engine.
+func (c *Catalog) Take(answer []byte) (news bool, odd []string, err error) {
+	var a struct {
+		Generation *int64  `json:"generation"`
+		Whole      bool    `json:"reset"`
+		Entries    []entry `json:"instances"`
+	}
+	if len(answer) > MaxAnswer {
+		return false, nil, fmt.Errorf("list has %d bytes, at most %d are read", len(answer), MaxAnswer)
+	}
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return false, nil, fmt.Errorf("list is cut short or is no JSON: %w", err)
+	}
+	if a.Generation == nil {
+		return false, nil, fmt.Errorf("list has no generation")
+	}
+	if !a.Whole && c.engines == nil {
+		return false, nil, fmt.Errorf("changes came before a whole list")
+	}
+	if !a.Whole && *a.Generation <= c.generation {
+		return false, nil, nil // nothing new, or changes that are known
+	}
+	if a.Whole {
+		c.engines = map[string]roster.Entry{}
+	}
+	c.generation = *a.Generation
+	for _, e := range a.Entries {
+		at, err := netip.ParseAddrPort(e.Host)
+		known := e.State == serving || e.State == draining || e.State == deleted
+		if e.ID == "" || !known || e.State != deleted && (err != nil || at.Port() == 0 || e.Started < 0) {
+			odd = append(odd, e.ID)
+			delete(c.engines, e.ID)
+			continue
+		}
+		if e.State == deleted {
+			delete(c.engines, e.ID)
+			continue
+		}
+		state := roster.Ready
+		if e.State == draining {
+			state = roster.Draining
+		}
+		c.engines[e.ID] = roster.Entry{Engine: e.ID, Host: e.Host, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell.String(),
+			Weight: max(0, e.Weight), State: state, UpSince: e.Started}
+	}
+	return true, odd, nil
+}
+
+// List is the present list, by id.
+func (c *Catalog) List() roster.List {
+	list := roster.List{Revision: c.generation, Engines: []roster.Entry{}}
+	for _, id := range slices.Sorted(maps.Keys(c.engines)) {
+		list.Engines = append(list.Engines, c.engines[id])
+	}
+	return list
+}
+
+// Query is what to ask next: what is newer than what is known, within so many milliseconds, or the whole list.
+func (c *Catalog) Query(waitMs int) string {
+	if c.engines == nil {
+		return ""
+	}
+	return "?index=" + strconv.FormatInt(c.generation, 10) + "&wait=" + strconv.Itoa(waitMs)
+}
--- a/chat/events.go
+++ b/chat/events.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"net/http"
+	"strings"
 )
 
 // Done is the data of the event that ends a stream.
@@ -23,6 +26,17 @@
 	return append(to, '\n')
 }
 
+// Chunk frames one event as a chunk of a streamed answer.
+func Chunk(event []byte) []byte {
+	data := AppendEvent(nil, event)
+	return append(append(fmt.Appendf(make([]byte, 0, len(data)+16), "%x\r\n", len(data)), data...), '\r', '\n')
+}
+
+// Streams is whether an answer's head announces a stream of events.
+func Streams(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
 // normal makes all line ends line feeds.
 func normal(data []byte) []byte {
 	if bytes.IndexByte(data, '\r') < 0 {
@@ -34,8 +48,11 @@
 // ErrEventTooLong says that an event is over the decoder's bound.
 var ErrEventTooLong = errors.New("event of the stream is over its bound")
 
-// Decoder cuts a stream of events. Only the data field is kept; comments and other fields are passed over.
+// Decoder cuts a stream of events. Only the data field is kept; other fields are passed over, and comments where
+// nobody wants them.
 type Decoder struct {
+	Comment func(text []byte) // is told of comments, if set; the slice is its own to keep
+
 	bound int
 	line  []byte // of the line under way
 	data  []byte // of the event under way
@@ -97,6 +114,10 @@
 		d.data, d.some = d.data[:0], false
 		return
 	}
+	if line[0] == ':' && d.Comment != nil {
+		d.Comment(bytes.Clone(line[1:]))
+		return
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	if string(name) != "data" {
 		return
--- a/cmd/sandcourse-edge/main.go
+++ b/cmd/sandcourse-edge/main.go
@@ -20,12 +20,19 @@
 )
 
 func main() {
-	var file string
-	c := &cobra.Command{Use: "sandcourse-edge --settings FILE", Short: "One node of sandcourse", Args: cobra.NoArgs,
+	var file, config string
+	c := &cobra.Command{Use: "sandcourse-edge --settings FILE | --config FILE", Short: "One node of sandcourse", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
-		RunE: func(*cobra.Command, []string) error { return run(file) }}
+		RunE: func(*cobra.Command, []string) error {
+			if config != "" {
+				return onPlatform(config)
+			}
+			return run(file)
+		}}
 	c.Flags().StringVar(&file, "settings", "", "the settings script")
-	c.MarkFlagRequired("settings")
+	c.Flags().StringVar(&config, "config", "", "the operators' platform's configuration, in place of a script")
+	c.MarkFlagsOneRequired("settings", "config")
+	c.MarkFlagsMutuallyExclusive("settings", "config")
 	if err := c.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "sandcourse-edge:", err)
 		var faults script.Faults
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -67,6 +67,7 @@
 type Bounds struct {
 	PerEngine int   // connections to one engine
 	Dials     int   // dials under way at one engine: a herd of handshakes is work for it
+	All       int   // connections to all engines together; 0 for any
 	IdleNs    int64 // an idle one is closed after this
 }
 
@@ -128,7 +129,16 @@
 	if dials >= p.bounds.Dials+spare {
 		return Lease{}
 	}
-	if len(p.of[engine]) >= p.bounds.PerEngine+spare {
+	full := p.bounds.All > 0 && len(p.conns) >= p.bounds.All+spare
+	if full { // one that lies idle at any engine makes room
+		oldest = nil
+		for _, c := range p.conns {
+			if c.state == Idle && (oldest == nil || cmp.Or(cmp.Compare(c.since, oldest.since), cmp.Compare(c.id, oldest.id)) < 0) {
+				oldest = c
+			}
+		}
+	}
+	if full || len(p.of[engine]) >= p.bounds.PerEngine+spare {
 		if oldest == nil {
 			return Lease{}
 		}
--- a/edge/back.go
+++ b/edge/back.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"strings"
+	"net"
 	"sync/atomic"
 
 	"github.com/lesismal/nbio"
@@ -29,6 +29,7 @@
 	events  *chat.Decoder // of the stream under way; nil where the answer is whole
 	body    []byte
 	relay   *relay // of the stream under way
+	closes  bool   // the engine has said that it closes after this answer
 	toWrite int64
 	written atomic.Int64
 }
@@ -48,23 +49,33 @@
 
 func (l *link) Close() { l.nb.Close() }
 
-// Dial connects a line, within the settings' time.
+// Dial connects a line, within the settings' time. The socket library's own dial takes an IPv4 address for 0.0.0.0,
+// which reaches nothing but 127.0.0.1, and tells a refused connection as one that is there; so the standard library
+// dials, and the connection is handed over.
 func (n *Node) Dial(core *node.Line) {
-	failed := func(err error) { n.in.put(0, func() { n.core.LineDialled(core, nil, err) }) }
-	err := n.back.DialAsyncTimeout("tcp", core.Engine, n.d.Lines.DialTime, func(nb *nbio.Conn, err error) {
+	n.over.Go(func() {
+		dialer := net.Dialer{Timeout: n.d.Lines.DialTime}
+		conn, err := dialer.DialContext(n.alive, "tcp", core.Host)
+		var nb *nbio.Conn
+		if err == nil {
+			if nb, err = nbio.NBConn(conn); err != nil {
+				conn.Close()
+			}
+		}
 		if err != nil {
-			failed(err)
+			n.in.put(0, func() { n.core.LineDialled(core, nil, err) })
 			return
 		}
 		l := &link{n: n, core: core, nb: nb,
 			cutter: framing.New(framing.Answers, framing.Bounds{Head: answerHead, Body: answerBody})}
 		nb.SetSession(l)
 		n.connOpened()
+		if _, err = n.back.AddConn(nb); err != nil {
+			n.in.put(0, func() { n.core.LineDialled(core, nil, err) })
+			return
+		}
 		n.in.put(0, func() { n.core.LineDialled(core, l, nil) })
 	})
-	if err != nil {
-		failed(err)
-	}
 }
 
 func (n *Node) backClosed(nb *nbio.Conn, _ error) {
@@ -89,12 +100,15 @@
 		return
 	}
 	pieces, err := l.cutter.Feed(data)
-	for _, p := range pieces {
+	for i, p := range pieces {
 		switch p.Kind {
 		case framing.Head:
-			l.events, l.body, l.relay = nil, nil, nil
-			if strings.HasPrefix(p.Answer.Header.Get("Content-Type"), "text/event-stream") {
-				l.events, l.relay = chat.NewDecoder(eventBound), &relay{}
+			l.events, l.body, l.relay, l.closes = nil, nil, nil, p.Answer.Close
+			if chat.Streams(p.Answer.Header) {
+				l.events, l.relay = chat.NewDecoder(eventBound), &relay{frame: n.speaks.Event}
+				l.events.Comment = func(text []byte) {
+					n.in.put(1+len(text), func() { n.core.LineComment(l.core, text) })
+				}
 			}
 			head := p.Answer
 			var tokens node.Relay
@@ -105,7 +119,7 @@
 		case framing.Body:
 			if l.events != nil {
 				if e := l.events.Feed(p.Data, func(event []byte) {
-					if string(event) != chat.Done && l.relay.pass(event, n.clock()) {
+					if !n.speaks.Last(event) && l.relay.pass(event, n.clock()) {
 						return
 					}
 					n.in.put(1+len(event), func() { n.core.LineEvent(l.core, event) })
@@ -116,7 +130,8 @@
 				err = errors.New("answer is over its bound")
 			}
 		case framing.End:
-			body, clean := l.body, l.cutter.Between()
+			// A whole answer that came behind this one belongs to nothing that was asked either.
+			body, clean := l.body, l.cutter.Between() && i == len(pieces)-1 && !l.closes
 			l.body = nil
 			n.in.put(1, func() { n.core.LineEnd(l.core, body, clean) })
 		}
--- a/edge/front.go
+++ b/edge/front.go
@@ -1,15 +1,14 @@
 package edge
 
 import (
-	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/lesismal/nbio"
 
-	"sandcourse/chat"
 	"sandcourse/framing"
 	"sandcourse/limits"
 	"sandcourse/node"
@@ -44,6 +43,7 @@
 	c := &client{nb: nb, cutter: framing.New(framing.Requests, framing.Bounds{Head: n.d.Head, Body: n.d.Body})}
 	c.core = &node.Client{ID: n.ids.Add(1), Socket: c}
 	nb.SetSession(c)
+	n.room.come()
 	n.connOpened()
 	n.in.put(0, func() { n.core.ClientOpened(c.core) })
 }
@@ -51,6 +51,7 @@
 func (n *Node) frontClosed(nb *nbio.Conn, _ error) {
 	n.connUsed()
 	if c, ok := nb.Session().(*client); ok {
+		n.room.leave()
 		n.in.put(0, func() { n.core.ClientGone(c.core) })
 	}
 }
@@ -108,11 +109,61 @@
 
 func (n *Node) readCall(r *http.Request, body []byte) *node.Asked {
 	a := &node.Asked{Request: r, Bytes: len(body)}
-	if r.Method == http.MethodPost && r.URL.Path == "/v1/chat/completions" {
-		a.Call, a.Wrong = chat.Parse(body, r.Header)
-		if key := r.Header.Get("Authorization"); key != "" {
-			a.Party = fmt.Sprintf("%016x", xxhash.Sum64String(key))
-		}
-	}
+	a.Call, a.Party, a.Wrong = n.speaks.Parse(r, body)
 	return a
 }
+
+// room counts clients' connections where they are accepted: a crowd that connects at once must not take the node's
+// descriptors before its owner has seen the first of it. Past the bound they wait in the kernel's queue.
+type room struct {
+	mu     sync.Mutex
+	freed  *sync.Cond
+	open   int
+	bound  int
+	closed bool
+}
+
+func newRoom(bound int) *room {
+	r := &room{bound: bound}
+	r.freed = sync.NewCond(&r.mu)
+	return r
+}
+
+func (r *room) come() {
+	r.mu.Lock()
+	r.open++
+	r.mu.Unlock()
+}
+
+func (r *room) leave() {
+	r.mu.Lock()
+	r.open--
+	r.mu.Unlock()
+	r.freed.Broadcast()
+}
+
+func (r *room) wait() {
+	r.mu.Lock()
+	for r.open >= r.bound && !r.closed {
+		r.freed.Wait()
+	}
+	r.mu.Unlock()
+}
+
+func (r *room) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.freed.Broadcast()
+}
+
+// roomy is a listener that accepts while there is room.
+type roomy struct {
+	net.Listener
+	room *room
+}
+
+func (l roomy) Accept() (net.Conn, error) {
+	l.room.wait()
+	return l.Listener.Accept()
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -23,6 +23,8 @@
 	"go.uber.org/zap"
 
 	"sandcourse/brain"
+	"sandcourse/chatline"
+	"sandcourse/dialect"
 	"sandcourse/follow"
 	"sandcourse/node"
 	"sandcourse/planwire"
@@ -43,12 +45,16 @@
 
 	in      *inbox
 	core    *node.Core
+	speaks  dialect.Dialect
+	peers   *peers // nil where nodes tell one another nothing
+	room    *room  // for clients' connections
 	front   *nbio.Engine
 	back    *nbio.Engine
 	chat    net.Listener
 	pages   net.Listener
 	metrics *meters
 
+	alive  context.Context // until Stop
 	cancel context.CancelFunc
 	done   chan struct{}
 	over   sync.WaitGroup
@@ -56,14 +62,21 @@
 	counts map[string]*planwire.RouteCount
 }
 
-// Bytes that may wait for the owner; far over what a node's sockets bring between two of its rounds.
-const inboxBytes = 16 << 20
-
-// New makes a node. Source may be nil where the settings list the engines.
+// New makes a node that speaks the chat API. Source may be nil where the settings list the engines.
 func New(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64) *Node {
-	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(inboxBytes),
-		started: time.Now(), done: make(chan struct{})}
+	var routes []string
+	for _, t := range d.Routes {
+		routes = append(routes, t.Name)
+	}
+	return NewOn(d, log, source, seed, chatline.New(routes))
+}
+
+// NewOn makes a node that speaks a dialect.
+func NewOn(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64, speaks dialect.Dialect) *Node {
+	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(d.Inbox),
+		started: time.Now(), done: make(chan struct{}), speaks: speaks, room: newRoom(d.Limits.Conns + 16)}
 	n.epoch = n.started.UnixMilli()
+	n.alive, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMeters()
 	if n.source == nil && d.Roster != "" {
 		n.source = roster.File{Path: d.Roster}
@@ -72,7 +85,7 @@
 		n.source = follow.Planner{Addr: d.Planner, Report: n.report}
 	}
 	n.counts = map[string]*planwire.RouteCount{}
-	n.core = node.New(d, seed, n.epoch, n.clock(), n, watch{n})
+	n.core = node.New(d, speaks, seed, n.epoch, n.clock(), n, watch{n})
 	return n
 }
 
@@ -122,7 +135,7 @@
 	addr := n.chat.Addr().String()
 	n.front = nbio.NewEngine(nbio.Config{Name: "front", Network: "tcp", Addrs: []string{addr}, NPoller: pollers,
 		ReadBufferSize: 16 << 10, MaxWriteBufferSize: n.d.ClientBuffer,
-		Listen: func(string, string) (net.Listener, error) { return n.chat, nil }})
+		Listen: func(string, string) (net.Listener, error) { return roomy{n.chat, n.room}, nil }})
 	n.front.OnOpen(n.frontOpened)
 	n.front.OnClose(n.frontClosed)
 	n.front.OnData(n.frontData)
@@ -136,8 +149,7 @@
 		n.chat.Close()
 		return fmt.Errorf("start the side of engines: %w", err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	ctx := n.alive
 	if n.d.Metrics != "" {
 		if n.pages, err = net.Listen("tcp", n.d.Metrics); err != nil {
 			n.chat.Close()
@@ -224,14 +236,15 @@
 // Drain takes no new inference and waits until those open are answered; past the settings' finish time, or
 // when ctx ends, the rest gets its error. Then the node stops.
 func (n *Node) Drain(ctx context.Context) error {
-	n.log.Info("stopping: no new inference is taken")
+	n.log.Info("stopping: no new inference is taken", zap.Duration("linger", n.d.Linger))
+	begun := time.Now()
 	n.in.put(0, func() { n.core.Stopping() })
 	ctx, cancel := context.WithTimeout(ctx, n.d.Finish)
 	defer cancel()
 	var err error
 	for err == nil {
 		var h node.Holding
-		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 {
+		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && time.Since(begun) >= n.d.Linger {
 			break
 		}
 		select {
@@ -265,6 +278,10 @@
 	// The owner first: it dials, and the socket library must not be stopped under a dial.
 	close(n.done)
 	n.in.close()
+	n.room.close()
+	if n.peers != nil {
+		n.peers.conn.Close()
+	}
 	n.over.Wait()
 	n.front.Stop()
 	n.back.Stop()
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -11,6 +11,7 @@
 // has passed on all that came before. A token so never waits behind the module's work for other inferences. The
 // owner keeps both ends: it opens the relay after the first token and shuts it before the final answer.
 type relay struct {
+	frame  func(event []byte) []byte
 	mu     sync.Mutex
 	queued int // tokens on their way through the owner
 	to     node.ClientSocket
@@ -32,7 +33,7 @@
 	}
 	r.last.Store(now)
 	r.passed.Add(1)
-	r.to.Send(node.Chunk(event))
+	r.to.Send(r.frame(event))
 	return true
 }
 
--- a/simwire/facts.go
+++ b/facts/facts.go
@@ -1,4 +1,7 @@
-package simwire
+// Package facts turns a deployment's settings, as the simulator and the platform hand them over, into the plain map
+// that the decision module reads, and load reports into the module's words. It renames and converts units, decides
+// nothing, and does no I/O.
+package facts
 
 import (
 	"strconv"
@@ -22,8 +25,8 @@
 	"retryable": "retriable", "dedup": "deduped", "fragile": "non-retriable", "subscribe": "watch",
 }
 
-// Facts flattens settings into dotted names in the users' words, times in nanoseconds.
-func Facts(params map[string]any) map[string]any {
+// Of flattens settings into dotted names in the users' words, times in nanoseconds.
+func Of(params map[string]any) map[string]any {
 	out := map[string]any{}
 	flatten("", 1, params, out)
 	return out
@@ -70,3 +73,19 @@
 	}
 	return a + "." + b
 }
+
+// reports maps the wire's names of load figures to the users' words.
+var reports = map[string]string{"x0": "memory_share", "x1": "waiting_thousand_tokens", "active": "open",
+	"avg_ms": "recent_lag_ms"}
+
+// Report names the figures of a load report in the users' words.
+func Report(telemetry map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for name, v := range telemetry {
+		if w, ok := reports[name]; ok {
+			name = w
+		}
+		out[name] = v
+	}
+	return out
+}
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -76,9 +76,13 @@
 	left    int    // bytes of body or chunk still to come
 	body    int    // bytes of body so far
 	trailer int
+	interim int // answers that went before the one that is meant
 	broken  error
 }
 
+// The most interim answers before one that is meant; common servers send one or two.
+const mostInterim = 16
+
 // New makes a cutter for one connection.
 func New(side Side, bounds Bounds) *Cutter { return &Cutter{side: side, bounds: bounds} }
 
@@ -218,6 +222,13 @@
 			return nil, 0, fault(502, "answer's head: %v", err)
 		}
 		piece.Answer, length, chunked = ans, ans.ContentLength, len(ans.TransferEncoding) > 0
+		// A client must be able to pass over interim answers that it did not ask for (RFC 9110, section 15.2); after a
+		// change of protocol the rest would be no HTTP.
+		if ans.StatusCode < 200 && ans.StatusCode != http.StatusSwitchingProtocols && c.interim < mostInterim {
+			c.interim++
+			return nil, len(head), nil
+		}
+		c.interim = 0
 		if ans.StatusCode < 200 {
 			return nil, 0, fault(502, "interim answer %d was not asked for", ans.StatusCode)
 		}
--- a/framing/framing_test.go
+++ b/framing/framing_test.go
@@ -68,6 +68,15 @@
 	})
 }
 
+// What goes ahead of an answer is passed over, whatever it says of a length.
+func TestInterimAnswers(t *testing.T) {
+	got, c, err := read(Answers, []byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n"+
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	if err != nil || fmt.Sprint(got) != "[ok]" || !c.Between() {
+		t.Fatal(got, err)
+	}
+}
+
 func TestRefused(t *testing.T) {
 	for name, c := range map[string]struct {
 		side   Side
@@ -88,7 +97,8 @@
 		"endless extension": {Requests, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;" + strings.Repeat("x", 2000), 400},
 		"no status":         {Answers, "HTTP/1.1 abc\r\n\r\n", 502},
 		"no length":         {Answers, "HTTP/1.1 200 OK\r\n\r\n", 502},
-		"interim":           {Answers, "HTTP/1.1 103 Early\r\nContent-Length: 0\r\n\r\n", 502},
+		"interim for ever":  {Answers, strings.Repeat("HTTP/1.1 103 Early\r\n\r\n", mostInterim+1), 502},
+		"other protocol":    {Answers, "HTTP/1.1 101 Switching\r\n\r\n", 502},
 	} {
 		_, cutter, err := read(c.side, []byte(c.wire))
 		var f *Fault
--- a/lab/edge.go
+++ b/lab/edge.go
@@ -15,6 +15,7 @@
 
 	"sandcourse/brain"
 	"sandcourse/chat"
+	"sandcourse/chatline"
 	"sandcourse/engine"
 	"sandcourse/framing"
 	"sandcourse/node"
@@ -94,7 +95,7 @@
 		mine := *d
 		mine.Me, mine.Node = i, fmt.Sprint("n", i)
 		e := &edge{w: w, n: i}
-		e.core = node.New(&mine, w.d.Seed*1000+uint64(i), 1, w.now, e, quiet{})
+		e.core = node.New(&mine, chatline.New(nil), w.d.Seed*1000+uint64(i), 1, w.now, e, quiet{})
 		w.nodes = append(w.nodes, e)
 	}
 	w.publish()
@@ -153,6 +154,9 @@
 	}
 }
 
+// Tell is node.Wire's: these nodes tell one another nothing.
+func (e *edge) Tell(int, string) {}
+
 // Dial is node.Wire's.
 func (e *edge) Dial(core *node.Line) {
 	b := e.w.byName[core.Engine]
@@ -351,7 +355,7 @@
 	w.after(way, func() {
 		e.do(func(o *node.Core) {
 			o.ClientOpened(c)
-			o.Ask(c, &node.Asked{Request: request, Call: call, Bytes: 4 * int(a.prompt), Party: a.session})
+			o.Ask(c, &node.Asked{Request: request, Call: chatline.Call(call), Bytes: 4 * int(a.prompt), Party: a.session})
 		})
 	})
 	try := a.try
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -18,6 +18,7 @@
 	HeadTime  time.Duration
 	BodyTime  time.Duration
 	IdleTime  time.Duration // between two calls of one connection
+	FirstTime time.Duration // from a connection's beginning to its first whole call; 0 for any
 	Retries   float64       // share of calls that may be retries; 0 for any
 	DrainTime time.Duration // for a client to take the rest of an answer before its connection is closed
 }
@@ -78,6 +79,7 @@
 	bytes int
 	open  int
 	party string
+	begun int64 // when it was opened; 0 once a call has been whole
 }
 
 // Gate is the state of one node's clients.
@@ -111,7 +113,7 @@
 		evict = oldest.id
 		g.Happen(evict, Closed, now)
 	}
-	g.conns[id] = &conn{id: id, since: now}
+	g.conns[id] = &conn{id: id, since: now, begun: now}
 	return evict, true
 }
 
@@ -129,12 +131,21 @@
 	if c.state != table[i].next {
 		c.state, c.since = table[i].next, now
 	}
+	if in == CallWhole {
+		c.begun = 0
+	}
 	if c.state == Gone {
 		g.Hold(id, -c.bytes)
 		delete(g.conns, id)
 	}
 }
 
+// Quiet is whether a connection has been served before and nothing is under way on it.
+func (g *Gate) Quiet(id int64) bool {
+	c := g.conns[id]
+	return c != nil && c.state == Idle && c.begun == 0
+}
+
 // Hold notes that a connection holds more bytes, or fewer.
 func (g *Gate) Hold(id int64, more int) {
 	if c := g.conns[id]; c != nil {
@@ -222,7 +233,8 @@
 		default:
 			continue
 		}
-		if now-c.since > int64(most) {
+		late := c.begun > 0 && c.state != Parting && g.bounds.FirstTime > 0 && now-c.begun > int64(g.bounds.FirstTime)
+		if late || now-c.since > int64(most) {
 			due = append(due, Overdue{id, c.state})
 		}
 	}
--- a/node/clients.go
+++ b/node/clients.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"sandcourse/chat"
+	"sandcourse/dialect"
 	"sandcourse/framing"
 	"sandcourse/limits"
 )
@@ -78,7 +78,7 @@
 		c.parting = true
 		return
 	}
-	o.reply(c, status, nil, chat.ErrorBody("invalid_request_error", "bad_message", "", err.Error()))
+	o.reply(c, nil, o.speaks.Refusal(status, "bad_message", "", err.Error()))
 	o.part(c)
 }
 
@@ -116,47 +116,28 @@
 }
 
 func (o *Core) serve(c *Client, a *Asked) {
-	path, method := a.Request.URL.Path, a.Request.Method
 	switch {
-	case path == "/v1/chat/completions" && method == http.MethodPost:
-		if a.Wrong != nil {
-			var w *chat.Wrong
-			errors.As(a.Wrong, &w)
-			o.reply(c, w.Status, a, chat.ErrorBody("invalid_request_error", "bad_call", w.Param, w.Error()))
-			return
-		}
+	case a.Wrong != nil:
+		o.reply(c, a, *a.Wrong)
+	case a.Call != nil:
 		o.arrive(c, a)
-	case path == "/v1/models" && method == http.MethodGet:
-		o.reply(c, http.StatusOK, a, o.models)
-	case path == "/healthz" && method == http.MethodGet:
-		o.reply(c, http.StatusOK, a, []byte(`{"status":"alive"}`))
-	case path == "/readyz" && method == http.MethodGet:
-		if why := o.unready(); why != "" {
-			o.reply(c, http.StatusServiceUnavailable, a, chat.ErrorBody("unavailable", "not_ready", "", why))
-			return
-		}
-		o.reply(c, http.StatusOK, a, []byte(`{"status":"ready"}`))
-	case path == "/v1/chat/completions" || path == "/v1/models" || path == "/healthz" || path == "/readyz":
-		o.reply(c, http.StatusMethodNotAllowed, a, chat.ErrorBody("invalid_request_error", "bad_method", "",
-			method+" is not served at "+path))
 	default:
-		o.reply(c, http.StatusNotFound, a, chat.ErrorBody("invalid_request_error", "not_found", "",
-			"nothing is served at "+path))
+		o.reply(c, a, o.speaks.Page(a.Request, o.unready()))
 	}
 }
 
 // reply writes a whole answer and ends the request.
-func (o *Core) reply(c *Client, status int, a *Asked, body []byte, headers ...string) {
-	head := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
-		status, http.StatusText(status), len(body))
-	for i := 0; i+1 < len(headers); i += 2 {
-		head = fmt.Appendf(head, "%s: %s\r\n", headers[i], headers[i+1])
+func (o *Core) reply(c *Client, a *Asked, with dialect.Answer) {
+	head := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n",
+		with.Status, http.StatusText(with.Status), with.Type, len(with.Body))
+	for i := 0; i+1 < len(with.Headers); i += 2 {
+		head = fmt.Appendf(head, "%s: %s\r\n", with.Headers[i], with.Headers[i+1])
 	}
 	keep := a != nil && !a.Request.Close && a.Request.ProtoAtLeast(1, 1)
 	if !keep {
 		head = append(head, "Connection: close\r\n"...)
 	}
-	o.write(c, append(append(head, "\r\n"...), body...))
+	o.write(c, append(append(head, "\r\n"...), with.Body...))
 	o.answered(c, a, keep)
 }
 
@@ -166,6 +147,11 @@
 		o.gate.Hold(c.ID, -a.Bytes)
 	}
 	c.serving, c.current = false, nil
+	if o.stopping && o.d.Linger > 0 && len(c.waiting) == 0 {
+		// What its client writes meanwhile is not read, so the client asks elsewhere as soon as this one is closed.
+		c.cut = true
+		keep = false
+	}
 	if !keep || c.parting {
 		o.part(c)
 		return
@@ -217,9 +203,35 @@
 			continue
 		}
 		written := c.Socket.Drained()
-		if o.now-at > int64(500*time.Millisecond) && written || o.now-at > int64(o.d.Limits.DrainTime) {
+		if written && (c.cut || o.now-at > int64(500*time.Millisecond)) || o.now-at > int64(o.d.Limits.DrainTime) {
 			delete(o.partings, id)
 			c.Socket.Close()
 		}
 	}
 }
+
+// cut ends a connection whose answer broke: the client must not take what it has for the whole.
+func (o *Core) cut(c *Client) {
+	c.serving, c.current = false, nil
+	c.cut = true
+	o.part(c)
+}
+
+// names are those that clients gave to inferences. Engines know inferences by them, so that a second of the same
+// name would be taken for a copy of the first. The last few thousand are kept, in two halves.
+type names struct{ young, old map[string]bool }
+
+// namesHalf: a minute's worth at a hundred a second, some hundred kilobytes.
+const namesHalf = 6000
+
+// take notes a name; false where it is taken already.
+func (n *names) take(name string) bool {
+	if n.young[name] || n.old[name] {
+		return false
+	}
+	if n.young == nil || len(n.young) >= namesHalf {
+		n.young, n.old = map[string]bool{}, n.young
+	}
+	n.young[name] = true
+	return true
+}
--- a/node/core.go
+++ b/node/core.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
-	"encoding/json"
 	"fmt"
-	"math"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -13,9 +11,8 @@
 
 	"sandcourse/attempt"
 	"sandcourse/brain"
-	"sandcourse/chat"
 	"sandcourse/conns"
-	"sandcourse/engine"
+	"sandcourse/dialect"
 	"sandcourse/limits"
 	"sandcourse/roster"
 	"sandcourse/settings"
@@ -29,6 +26,8 @@
 	wire  Wire
 	watch Watch
 	now   int64
+	// speaks is how clients and engines are met; it may keep nothing of its own that changes.
+	speaks dialect.Dialect
 
 	brain  *brain.Brain
 	lives  uint64 // of the module: a panic begins a new one
@@ -39,11 +38,11 @@
 
 	list   *roster.List
 	told   attempt.Told
-	names  []string // of all engines ever listed
+	listed []string // all engines ever listed
+	names  names    // of inferences, where clients give them
 	gate   *limits.Gate
 	again  *limits.Retries
 	pool   *conns.Pool
-	models []byte
 
 	clients  map[int64]*Client
 	partings map[int64]int64
@@ -56,6 +55,7 @@
 	// answeredNow are those that got their final answer while the present input is carried out.
 	answeredNow []*open
 	stopping    bool
+	stopAt      int64 // when it was told to stop
 	swept       int64
 }
 
@@ -69,15 +69,14 @@
 	at       int64
 	giveUpAt int64
 	sends    []*send
-	transfer engine.Transfer
+	transfer dialect.State
 	state    attempt.Held // where its state is
 	trace    attempt.Trace
-	whole    *chat.Whole // where the client wants one answer
+	whole    dialect.Collector // where the client wants one answer
 	began    bool
 	firstAt  int64
 	tokens   int    // passed on by the core; relays count theirs
 	final    string // completed, shed, errored or left; empty while none is given
-	job      engine.Job
 }
 
 // send is one send of an inference.
@@ -94,16 +93,13 @@
 	lastToken int64
 	relay     Relay // of its stream, if it has one
 	kept      float64
-	transfer  engine.Transfer
+	transfer  dialect.State
 	report    map[string]float64
 	verdict   brain.Verdict
 	ended     bool
 	why       string
 }
 
-// The most bytes of text of an answer that is collected for a client that wants it whole.
-const answerWhole = 1 << 20
-
 // The final answers, and leaving without one.
 const (
 	completed = "completed"
@@ -138,17 +134,12 @@
 }
 
 // New makes the core of a node that starts at now. Epoch must differ between lives of a node.
-func New(d *settings.Deployment, seed uint64, epoch, now int64, wire Wire, watch Watch) *Core {
-	o := &Core{d: d, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
+func New(d *settings.Deployment, speaks dialect.Dialect, seed uint64, epoch, now int64, wire Wire, watch Watch) *Core {
+	o := &Core{d: d, speaks: speaks, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
-			Dials: d.Lines.Dials, IdleNs: int64(d.Lines.Idle)}),
+			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
 		errands: map[*errand]bool{}, infs: map[int64]*open{}}
-	var row []any
-	for _, t := range d.Routes {
-		row = append(row, map[string]any{"id": t.Name, "object": "model", "owned_by": "sandcourse"})
-	}
-	o.models, _ = json.Marshal(map[string]any{"object": "list", "data": row})
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
@@ -178,7 +169,7 @@
 		o.watch.Refused("slow or idle")
 		c := o.clients[due.ID]
 		if c != nil && (due.State == limits.Heading || due.State == limits.Bodying) {
-			o.reply(c, http.StatusRequestTimeout, nil, chat.ErrorBody("invalid_request_error", "too_slow", "",
+			o.reply(c, nil, o.speaks.Refusal(http.StatusRequestTimeout, "too_slow", "",
 				"the request did not come in time"))
 			continue
 		}
@@ -310,6 +301,8 @@
 		o.after(e.In, timer{token: e.Token, lives: o.lives})
 	case brain.Probe:
 		o.run(&errand{engine: e.Engine})
+	case brain.Tell:
+		o.wire.Tell(e.To, e.Text)
 	}
 }
 
@@ -325,22 +318,26 @@
 // arrive takes a call, or refuses it before the module hears of it.
 func (o *Core) arrive(c *Client, a *Asked) {
 	d := o.d
-	route := d.Route(a.Call.Model)
+	route := d.Route(a.Call.Route)
 	if route < 0 {
-		o.reply(c, http.StatusNotFound, a, chat.ErrorBody("invalid_request_error", "model_not_found", "model",
-			fmt.Sprintf("there is no model route %q", a.Call.Model)))
+		o.reply(c, a, o.speaks.Refusal(http.StatusNotFound, "model_not_found", "model",
+			fmt.Sprintf("there is no model route %q", a.Call.Route)))
 		return
 	}
 	if !a.Request.ProtoAtLeast(1, 1) {
-		o.reply(c, http.StatusHTTPVersionNotSupported, a, chat.ErrorBody("invalid_request_error", "bad_protocol", "",
+		o.reply(c, a, o.speaks.Refusal(http.StatusHTTPVersionNotSupported, "bad_protocol", "",
 			"calls are taken over HTTP/1.1"))
 		return
 	}
-	if o.stopping {
+	if a.Call.Name != "" && !o.names.take(a.Call.Name) {
+		o.reply(c, a, o.speaks.Refusal(http.StatusConflict, "known", "", "an inference has this name already"))
+		return
+	}
+	if o.stopping && o.now-o.stopAt >= int64(d.Linger) {
 		o.shedCall(c, a, http.StatusServiceUnavailable, "this node is stopping", 0)
 		return
 	}
-	if !o.again.Take(o.now, a.Call.Retry > 0) {
+	if !o.again.Take(o.now, a.Call.Retried) {
 		o.shedCall(c, a, http.StatusServiceUnavailable, "more calls are repeated than this node takes", d.RetryAfter)
 		return
 	}
@@ -353,17 +350,14 @@
 		return
 	}
 	o.nextInf++
-	inf := &open{id: o.nextInf, name: fmt.Sprintf("%s-%x-%d", d.Node, o.epoch, o.nextInf), client: c, asked: a,
-		route: route, at: o.now}
+	inf := &open{id: o.nextInf, name: cmp.Or(a.Call.Name, fmt.Sprintf("%s-%x-%d", d.Node, o.epoch, o.nextInf)),
+		client: c, asked: a, route: route, at: o.now}
 	patience := d.Routes[route].Timeout
 	if a.Call.GiveUp > 0 {
 		patience = min(patience, a.Call.GiveUp)
 	}
 	inf.giveUpAt = o.now + int64(patience)
-	inf.job = engine.Job{Call: a.Call, Name: inf.name}
-	if !a.Call.Stream {
-		inf.whole = chat.NewWhole(answerWhole)
-	}
+	inf.whole = o.speaks.Collect(a.Call)
 	c.current = inf
 	o.infs[inf.id] = inf
 	session := a.Call.Session
@@ -372,21 +366,14 @@
 	}
 	o.tell(brain.Arrival{Inf: inf.id, Route: route, Session: session, Prefix: a.Call.Beginning,
 		GiveUpAt: inf.giveUpAt, Prompt: float64(a.Call.Prompt), PrefixTokens: float64(a.Call.BeginningLen),
-		MaxAnswer: float64(a.Call.MaxAnswer), Repeat: a.Call.RepeatMark != ""})
+		MaxAnswer: float64(a.Call.MaxAnswer), Repeat: a.Call.Repeat, Resumed: a.Call.Resumed})
 	o.forget(inf)
 }
 
 // shedCall refuses a call that was never an inference.
 func (o *Core) shedCall(c *Client, a *Asked, status int, why string, again time.Duration) {
-	o.watch.Shed(a.Call.Model, a.Call.Prompt)
-	o.reply(c, status, a, chat.ErrorBody("overloaded", "shed", "", why+"; a further try is harmless"),
-		shedHeaders(again)...)
-}
-
-func shedHeaders(again time.Duration) []string {
-	ms := again.Milliseconds()
-	return []string{"Retry-After", fmt.Sprint(int64(math.Ceil(max(1, again.Seconds())))),
-		"Retry-After-Ms", fmt.Sprint(ms), chat.HeaderFinal, shed}
+	o.watch.Shed(a.Call.Route, a.Call.Prompt)
+	o.reply(c, a, o.speaks.Shed(status, "", why, again))
 }
 
 func (o *Core) send(e brain.Send) {
@@ -403,17 +390,19 @@
 	}
 	var request []byte
 	var err error
+	to, left := dialect.Engine{Host: o.host(e.Engine), Epoch: o.entry(e.Engine).Epoch}, time.Duration(inf.giveUpAt-o.now)
 	if s.writes {
-		request, err = inf.job.Write(e.Engine, o.entry(e.Engine).Epoch, inf.transfer)
+		request, err = o.speaks.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
 	} else {
-		request, err = inf.job.Read(e.Engine, o.entry(e.Engine).Epoch, s.n)
+		request, err = o.speaks.Read(inf.asked.Call, inf.name, to, s.n, left)
 	}
 	atMost := int64(o.d.Lines.Idle)
 	if s.writes && o.d.Routes[inf.route].Effect != "retriable" {
 		atMost = int64(o.d.Lines.IdleUnsafe)
 	}
 	if err != nil || !o.carry(e.Engine, s, nil, request, atMost) {
-		o.happen(s, attempt.NoLine, "no line to it may be opened")
+		// The node's own bound says nothing of the engine.
+		o.happen(s, attempt.Barred, "no line to it may be opened")
 	}
 }
 
@@ -425,7 +414,7 @@
 	case "write":
 		return false
 	}
-	return inf.transfer.Host == ""
+	return inf.transfer == nil
 }
 
 // entry is what the list says of an engine; nothing of one that is not in it.
@@ -440,6 +429,9 @@
 	return roster.Entry{}
 }
 
+// host is where an engine is reached from this node: its id, unless the list says another place.
+func (o *Core) host(engineID string) string { return cmp.Or(o.entry(engineID).Host, engineID) }
+
 // happen is where all socket events of a send end up: its machine judges them, and the outcome, if there is
 // one, goes to the module.
 func (o *Core) happen(s *send, in attempt.Input, why string) {
@@ -514,16 +506,14 @@
 		inf.trace.Taken(inf.state) // the writer has fetched the state, and its reader let go of it then
 		o.letGo(inf)
 		if inf.whole == nil && inf.final == "" {
-			o.write(inf.client, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+
-				"Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n%s: %s\r\n\r\n",
-				chat.HeaderInference, inf.name))
+			o.write(inf.client, o.speaks.Open(inf.name))
 		}
 		o.watch.First(o.d.Routes[inf.route].Name, time.Duration(o.now-inf.at), inf.asked.Call.Prompt)
 		o.tell(brain.FirstToken{Inf: inf.id, Send: s.n, Engine: s.engine, Lag: o.now - s.at})
 	}
 	inf.tokens++
 	if inf.whole == nil && inf.final == "" {
-		o.write(inf.client, Chunk(s.token))
+		o.write(inf.client, o.speaks.Event(s.token))
 	}
 	s.token = nil
 }
@@ -554,31 +544,22 @@
 	if !o.end(inf, final, why) || c.gone {
 		return
 	}
-	headers := []string{chat.HeaderInference, inf.name, chat.HeaderFinal, final}
 	switch {
-	case inf.began && inf.whole == nil:
-		if final == completed {
-			o.write(c, Chunk([]byte(chat.Done)))
-		} else {
-			o.write(c, Chunk(chat.ErrorBody("server_error", final, "", why)))
-		}
-		o.write(c, []byte("0\r\n\r\n"))
-		o.answered(c, inf.asked, !inf.asked.Request.Close)
 	case final == completed && inf.whole != nil:
-		o.reply(c, http.StatusOK, inf.asked, inf.whole.Body(inf.asked.Call), headers...)
-	case final == completed:
-		o.write(c, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"+
-			"Transfer-Encoding: chunked\r\n%s: %s\r\n\r\n", chat.HeaderInference, inf.name))
-		o.write(c, Chunk([]byte(chat.Done)))
-		o.write(c, []byte("0\r\n\r\n"))
+		o.reply(c, inf.asked, o.speaks.Whole(inf.asked.Call, inf.name, inf.whole))
+	case inf.began && inf.whole == nil, final == completed:
+		if !inf.began { // an answer without a token
+			o.write(c, o.speaks.Open(inf.name))
+		}
+		last, keep := o.speaks.Close(final == completed, why)
+		o.write(c, last)
+		if !keep {
+			o.cut(c)
+			return
+		}
 		o.answered(c, inf.asked, !inf.asked.Request.Close)
 	default:
-		status := http.StatusBadGateway
-		if o.timeUp(inf) {
-			status = http.StatusGatewayTimeout
-		}
-		o.reply(c, status, inf.asked, chat.ErrorBody("server_error", final, "",
-			why+"; it may have run, nothing is promised of a further try"), headers...)
+		o.reply(c, inf.asked, o.speaks.Errored(inf.name, why, o.timeUp(inf)))
 	}
 }
 
@@ -588,9 +569,8 @@
 		return
 	}
 	if c := inf.client; o.end(inf, shed, "") && !c.gone {
-		o.reply(c, http.StatusServiceUnavailable, inf.asked, chat.ErrorBody("overloaded", shed, "",
-			"it would not be answered in time; a further try is harmless"),
-			append(shedHeaders(time.Duration(again)), chat.HeaderInference, inf.name)...)
+		o.reply(c, inf.asked, o.speaks.Shed(http.StatusServiceUnavailable, inf.name, "it would not be answered in time",
+			time.Duration(again)))
 	}
 }
 
@@ -653,11 +633,11 @@
 	ready := map[string]bool{}
 	for _, e := range news.Engines {
 		ready[e.Engine] = e.Ready
-		if !slices.Contains(o.names, e.Engine) {
-			o.names = append(o.names, e.Engine)
+		if !slices.Contains(o.listed, e.Engine) {
+			o.listed = append(o.listed, e.Engine)
 		}
 	}
-	o.told.HearAll(ready, o.names, o.now)
+	o.told.HearAll(ready, o.listed, o.now)
 	o.list = &list
 	o.watch.Listed(list.Revision, len(news.Engines), unknown)
 	o.tell(news)
@@ -674,3 +654,6 @@
 	}
 	return ""
 }
+
+// Heard takes a text of another node.
+func (o *Core) Heard(from int, text string) { o.tell(brain.PeerMessage{From: from, Text: text}) }
--- a/node/lines.go
+++ b/node/lines.go
@@ -2,14 +2,12 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"sandcourse/attempt"
 	"sandcourse/brain"
-	"sandcourse/chat"
 	"sandcourse/conns"
-	"sandcourse/engine"
+	"sandcourse/dialect"
 )
 
 // errand is what is asked of an engine beside sends: a probe, or to let go of a state.
@@ -52,7 +50,7 @@
 	}
 	l := o.lines[lease.ID]
 	if !lease.Reused {
-		l = &Line{ID: lease.ID, Engine: engineID, dialAt: o.now}
+		l = &Line{ID: lease.ID, Engine: engineID, Host: o.host(engineID), dialAt: o.now}
 		o.lines[l.ID] = l
 	}
 	l.send, l.errand, l.request = s, e, request
@@ -120,12 +118,8 @@
 			o.happen(s, attempt.Garbled, "a second head")
 			return
 		}
-		s.report, s.relay = engine.Report(head.Header), tokens
-		in := engine.SortHead(head)
-		if in == attempt.Accepted && s.writes != strings.HasPrefix(head.Header.Get("Content-Type"), "text/event-stream") {
-			in = attempt.Garbled
-		}
-		o.happen(s, in, head.Status)
+		s.report, s.relay = o.speaks.Load(head, nil), tokens
+		o.happen(s, o.speaks.Sort(head, s.writes), head.Status)
 	case l.errand != nil:
 		l.errand.head = head
 	case l.restSince == 0:
@@ -139,7 +133,7 @@
 	if s == nil {
 		return
 	}
-	if string(event) == chat.Done {
+	if o.speaks.Last(event) {
 		o.happen(s, attempt.Finished, "")
 		return
 	}
@@ -158,14 +152,22 @@
 	}
 }
 
+// LineComment takes a comment of a stream, which may be the engine's load report.
+func (o *Core) LineComment(l *Line, text []byte) {
+	if report := o.speaks.Comment(text); report != nil && l.send != nil {
+		l.send.report = report
+	}
+}
+
 // LineEnd says that an answer has been read to its end; clean is false where more bytes followed.
 func (o *Core) LineEnd(l *Line, body []byte, clean bool) {
 	if s := l.send; s != nil {
 		switch {
 		case s.writes:
-			o.happen(s, attempt.Reset, "the stream ended without its last event")
+			in, why := o.speaks.Cut(s.machine.Began)
+			o.happen(s, in, why)
 		default:
-			t, kept, err := engine.ReadAnswer(body)
+			t, kept, err := o.speaks.Held(body)
 			if err != nil {
 				o.happen(s, attempt.Garbled, err.Error())
 			} else {
@@ -177,7 +179,7 @@
 	if e := l.errand; e != nil {
 		l.errand = nil
 		l.restSince = o.now
-		o.errandDone(e, e.head)
+		o.errandDone(e, e.head, body)
 	}
 	if o.lines[l.ID] != l || l.socket == nil {
 		return
@@ -235,7 +237,7 @@
 	}
 	if e := l.errand; e != nil {
 		l.errand = nil
-		o.errandDone(e, nil)
+		o.errandDone(e, nil, nil)
 	}
 }
 
@@ -243,26 +245,27 @@
 func (o *Core) run(e *errand) {
 	e.at, e.head = o.now, nil
 	e.tries++
-	request := engine.Probe(e.engine)
+	to := dialect.Engine{Host: o.host(e.engine)}
+	request := o.speaks.Probe(to)
 	if e.name != "" {
-		request = engine.Release(e.engine, e.name, e.send)
+		request = o.speaks.Release(to, e.name, e.send)
 	}
 	o.errands[e] = true
 	if !o.carry(e.engine, nil, e, request, int64(o.d.Lines.Idle)) {
-		o.errandDone(e, nil)
+		o.errandDone(e, nil, nil)
 	}
 }
 
-func (o *Core) errandDone(e *errand, head *http.Response) {
+func (o *Core) errandDone(e *errand, head *http.Response, body []byte) {
 	if !o.errands[e] {
 		return
 	}
 	delete(o.errands, e)
-	ok := head != nil && head.StatusCode == http.StatusOK
+	ok := head != nil && head.StatusCode/100 == 2
 	switch {
 	case e.name == "" && ok:
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
-			Report: engine.Report(head.Header)})
+			Report: o.speaks.Load(head, body)})
 	case e.name == "":
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
 	case ok:
--- a/node/node.go
+++ b/node/node.go
@@ -5,18 +5,21 @@
 
 import (
 	"container/heap"
-	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"sandcourse/brain"
-	"sandcourse/chat"
+	"sandcourse/dialect"
 )
 
 // Wire is what a core asks of the sockets. Its calls must not call back into the core.
 type Wire interface {
 	// Dial connects a line; LineDialled follows, in a later event.
 	Dial(l *Line)
+	// Tell sends a short text to one node, or to all others where to is negative.
+	Tell(to int, text string)
 }
 
 // ClientSocket is a client's connection.
@@ -72,6 +75,7 @@
 	current *open
 	gone    bool
 	parting bool // to be closed once all is written
+	cut     bool // and at once, as its answer broke
 	out     []byte
 	dirty   bool
 	held    int
@@ -80,16 +84,17 @@
 // Asked is one request of a client, whole.
 type Asked struct {
 	Request *http.Request
-	Call    *chat.Call // nil where it is no call
-	Party   string     // who asks, empty for the connection itself
+	Call    *dialect.Call // nil where it is no call
+	Party   string        // who asks, empty for the connection itself
 	Bytes   int
-	Wrong   error // why a call is none, of type *chat.Wrong
+	Wrong   *dialect.Answer // to a call that is none
 }
 
 // Line is one connection to an engine.
 type Line struct {
 	ID     int64
 	Engine string
+	Host   string // where it is dialled
 
 	socket    LineSocket // nil while it is dialled
 	send      *send      // what it carries
@@ -128,8 +133,22 @@
 	return due
 }
 
-// Stopping makes the node take nothing new.
-func (o *Core) Stopping() { o.stopping = true }
+// Stopping makes the node take nothing new. Where the settings let it linger, calls that are on their way are still
+// taken for that long, and connections end with their answers, so that clients go elsewhere.
+func (o *Core) Stopping() {
+	if o.stopping {
+		return
+	}
+	o.stopping, o.stopAt = true, o.now
+	if o.d.Linger == 0 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
+		if c := o.clients[id]; o.gate.Quiet(id) {
+			o.closeClient(c)
+		}
+	}
+}
 
 // Abandon gives everything that is open its error.
 func (o *Core) Abandon(why string) {
@@ -150,9 +169,3 @@
 	clients, _, bytes := o.gate.Holding()
 	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands)}
 }
-
-// Chunk frames one event as a chunk of a streamed answer.
-func Chunk(event []byte) []byte {
-	data := chat.AppendEvent(nil, event)
-	return append(append(fmt.Appendf(make([]byte, 0, len(data)+16), "%x\r\n", len(data)), data...), '\r', '\n')
-}
--- a/prove/copy.go
+++ b/prove/copy.go
@@ -6,7 +6,8 @@
 	"reflect"
 	"unsafe"
 
-	"sandcourse/chat"
+	"sandcourse/chatline"
+	"sandcourse/dialect"
 	"sandcourse/settings"
 )
 
@@ -17,7 +18,8 @@
 	reflect.TypeFor[*settings.Deployment](): true, // fixed from the start
 	reflect.TypeFor[*http.Request]():        true, // a call and an answer's head are read only
 	reflect.TypeFor[*http.Response]():       true,
-	reflect.TypeFor[*chat.Call]():           true,
+	reflect.TypeFor[*dialect.Call]():        true,
+	reflect.TypeFor[*chatline.Dialect]():    true,
 	reflect.TypeFor[map[string]any]():       true, // the module's facts
 }
 
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -19,6 +19,7 @@
 
 	"sandcourse/brain"
 	"sandcourse/chat"
+	"sandcourse/chatline"
 	"sandcourse/engine"
 	"sandcourse/framing"
 	"sandcourse/node"
@@ -194,10 +195,13 @@
 	return c
 }
 
+// speaks is the chat API's: it keeps nothing that changes.
+var speaks = chatline.New(nil)
+
 // begin starts a life of the node.
 func (s *sim) begin() {
 	s.life++
-	s.core = node.New(s.d, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
+	s.core = node.New(s.d, speaks, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
 }
 
 // kill ends the node outright and starts it anew with its last list. What it held is its clients' loss and its
@@ -241,6 +245,8 @@
 
 // ---- the wire
 
+func (s *sim) Tell(int, string) {}
+
 func (s *sim) Dial(l *node.Line) { s.lines = append(s.lines, &simLine{core: l, sim: s}) }
 
 func (l *simLine) Write(data []byte) error {
@@ -633,7 +639,7 @@
 	s.asks[s.life]++
 	c.name = fmt.Sprintf("%s-%x-%d", s.d.Node, s.life, s.asks[s.life])
 	before := s.core.Holding().Inferences
-	s.do(func() { s.core.Ask(c.core, &node.Asked{Request: r, Call: call, Bytes: len(body)}) })
+	s.do(func() { s.core.Ask(c.core, &node.Asked{Request: r, Call: chatline.Call(call), Bytes: len(body)}) })
 	if c.endAt > 0 && !strings.Contains(string(c.out), chat.HeaderInference) { // refused before it was an inference
 		s.asks[s.life]--
 		c.name = ""
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 // Entry is one engine. UpSince is in Unix milliseconds, 0 for long ago.
 type Entry struct {
 	Engine  string  `json:"engine"`
+	Host    string  `json:"-"` // where this node reaches it, if its id is no address
 	Kind    string  `json:"kind"`
 	Zone    string  `json:"zone,omitempty"`
 	Cell    string  `json:"cell,omitempty"`
--- a/settings/facts.go
+++ b/settings/facts.go
@@ -10,6 +10,9 @@
 
 // Facts are what the decision module is handed, by the names that it reads.
 func (d *Deployment) Facts() map[string]any {
+	if d.Given != nil {
+		return d.Given
+	}
 	f := map[string]any{
 		"limits.sends": float64(d.Sends), "limits.cancel": true, "limits.probes": d.Probes, "limits.peers": false,
 		"limits.retry_after": d.RetryAfter > 0, "limits.max_retry_after": float64(d.RetryAfter),
@@ -59,8 +62,14 @@
 	return news, unknown
 }
 
-// zones starts with the node's own, which so keeps its number whatever a list says.
-func (d *Deployment) zones() []string { return []string{d.Zone} }
+// zones starts with those that have given numbers, or with the node's own, which so keeps its number whatever a list
+// says.
+func (d *Deployment) zones() []string {
+	if len(d.Zones) > 0 {
+		return slices.Clone(d.Zones)
+	}
+	return []string{d.Zone}
+}
 
 func number(names []string, name string) int { return max(0, slices.Index(names, name)) }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,7 @@
 	PerEngine, Dials int
 	DialTime         time.Duration
 	Idle, IdleUnsafe time.Duration // how long an idle one is used again; for what must not run twice
+	All              int           // to all engines together; 0 for any
 }
 
 // Rules are the figures of the five rules and what goes with them.
@@ -64,6 +65,12 @@
 	RetryAfter    time.Duration
 	Finish        time.Duration // how long open inferences may go on once the node is told to stop
 	Probes        bool
+	// What only a platform's configuration says: the module's facts as they are given, the names of zones by their
+	// numbers, how long a node that is told to stop takes what still comes, and bytes that may wait for its owner.
+	Given  map[string]any
+	Zones  []string
+	Linger time.Duration
+	Inbox  int
 }
 
 // Engines that one script may list.
@@ -103,7 +110,7 @@
 			BodyTime: 15 * time.Second, IdleTime: 75 * time.Second, DrainTime: 2 * time.Second},
 		Body: 1 << 20, Head: 16 << 10, ClientBuffer: 48 << 10, Sends: 4,
 		// The module answers three ticks before a client gives up.
-		Tick: 5 * time.Millisecond, Stall: 5 * time.Second, RetryAfter: time.Second, Finish: 20 * time.Second,
+		Tick: 5 * time.Millisecond, Stall: 5 * time.Second, RetryAfter: time.Second, Inbox: 16 << 20, Finish: 20 * time.Second,
 		Probes: true}
 }
 
@@ -188,7 +195,7 @@
 		},
 		"lines": func() ([]script.Key, func(fault)) {
 			l := &d.Lines
-			return []script.Key{{Name: "per_engine", To: &l.PerEngine, Min: 1, Max: 60_000}, {Name: "dials", To: &l.Dials, Min: 1, Max: 10_000},
+			return []script.Key{{Name: "per_engine", To: &l.PerEngine, Min: 1, Max: 60_000}, {Name: "all", To: &l.All, Max: 1e6}, {Name: "dials", To: &l.Dials, Min: 1, Max: 10_000},
 				{Name: "dial_time", To: &l.DialTime, Min: 0.01, Max: 30}, {Name: "conn_idle", To: &l.Idle, Min: 0, Max: 3600},
 				{Name: "conn_idle_non_retriable", To: &l.IdleUnsafe, Min: 0, Max: 3600}}, nil
 		},
@@ -206,8 +213,8 @@
 	}
 }
 
-// Whole checks what no single call can.
-func (d *Deployment) Whole(say func(format string, args ...any)) {
+// Check checks what no single value can.
+func (d *Deployment) Check(say func(format string, args ...any)) {
 	if len(d.Routes) == 0 {
 		say("route: none is given; at least one is needed")
 	}
@@ -216,6 +223,17 @@
 	if !reads || !writes {
 		say("kind: there must be one that reads and one that writes")
 	}
+	if d.Me >= d.Nodes {
+		say("node: number %d must be under nodes, which is %d", d.Me, d.Nodes)
+	}
+	if d.Rules.Pin < 8*d.Tick {
+		say("rules: pin must be at least eight ticks, %v", 8*d.Tick)
+	}
+}
+
+// Whole checks what no single call of a script can.
+func (d *Deployment) Whole(say func(format string, args ...any)) {
+	d.Check(say)
 	given := 0
 	for _, is := range []bool{d.Roster != "", d.Planner != "", len(d.Engines) > 0} {
 		if is {
@@ -225,10 +243,4 @@
 	if given != 1 {
 		say("roster, planner or engine: one of them is needed, and only one")
 	}
-	if d.Me >= d.Nodes {
-		say("node: number %d must be under nodes, which is %d", d.Me, d.Nodes)
-	}
-	if d.Rules.Pin < 8*d.Tick {
-		say("rules: pin must be at least eight ticks, %v", 8*d.Tick)
-	}
 }
--- a/simwire/wire.go
+++ b/simwire/wire.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"sandcourse/brain"
+	"sandcourse/facts"
 )
 
 // Event is one event of a batch. Exactly one of Input, Create and Down is set; an unknown event sets Unknown.
@@ -135,7 +136,7 @@
 	}
 	switch *head.T {
 	case "create":
-		ev.Create = &Create{Seed: r.RandomSeed, Facts: Facts(r.Params)}
+		ev.Create = &Create{Seed: r.RandomSeed, Facts: facts.Of(r.Params)}
 	case "down":
 		ev.Down = true
 	case "endpoints":
@@ -154,13 +155,13 @@
 		ev.Input = brain.ClientGone{Inf: r.Call}
 	case "response":
 		ev.Input = brain.Outcome{Inf: r.Call, Send: r.SeqNo, Engine: r.Engine, Verdict: verdict,
-			Lag: r.Lag * 1000, Ended: r.Ended, Note: r.Note, Report: report(r.Telemetry)}
+			Lag: r.Lag * 1000, Ended: r.Ended, Note: r.Note, Report: facts.Report(r.Telemetry)}
 	case "flowing":
 		ev.Input = brain.FirstToken{Inf: r.Call, Send: r.SeqNo, Engine: r.Engine, Lag: r.Lag * 1000}
 	case "ring":
 		ev.Input = brain.TimerDue{Token: r.Ctx}
 	case "ping_result":
-		ev.Input = brain.ProbeResult{Engine: r.Engine, Verdict: verdict, Lag: r.Lag * 1000, Report: report(r.Telemetry)}
+		ev.Input = brain.ProbeResult{Engine: r.Engine, Verdict: verdict, Lag: r.Lag * 1000, Report: facts.Report(r.Telemetry)}
 	case "peer_data":
 		ev.Input = brain.PeerMessage{From: r.Author, Text: r.Content}
 	case "reserved":
@@ -169,21 +170,6 @@
 	return ev, nil
 }
 
-// reports maps the wire's names of load figures to the users' words.
-var reports = map[string]string{"x0": "memory_share", "x1": "waiting_thousand_tokens", "active": "open",
-	"avg_ms": "recent_lag_ms"}
-
-func report(telemetry map[string]float64) map[string]float64 {
-	out := map[string]float64{}
-	for name, v := range telemetry {
-		if w, ok := reports[name]; ok {
-			name = w
-		}
-		out[name] = v
-	}
-	return out
-}
-
 // Action is one action of a reply.
 type Action struct {
 	T        string  `json:"t"`
