--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -75,3 +75,21 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// Past the bound of all, what lies idle longest at any engine makes room, and what is busy never does.
+func TestBoundOfAll(t *testing.T) {
+	p := New(Bounds{PerEngine: 9, Dials: 9, All: 2, IdleNs: 1000})
+	a, b := p.Take("a", 1, 1000, 0), p.Take("b", 2, 1000, 0)
+	p.Happen(a.ID, Dialled, 3)
+	p.Happen(b.ID, Dialled, 3)
+	if p.Take("c", 4, 1000, 0).OK {
+		t.Fatal("a third while both are busy")
+	}
+	p.Happen(a.ID, Released, 5)
+	if c := p.Take("c", 6, 1000, 0); !c.OK || c.Evict != a.ID || p.State(a.ID) != Closed {
+		t.Fatalf("%+v", c)
+	}
+	if !p.Take("d", 7, 1000, 1).OK {
+		t.Fatal("no spare line")
+	}
+}
--- /dev/null
+++ b/edge/platform_test.go
@@ -0,0 +1,312 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sandcourse/edge"
+	"sandcourse/platform"
+	"sandcourse/roster"
+	"sandcourse/settings"
+)
+
+// box is an engine of the platform that answers as a test says, byte for byte.
+type box struct {
+	addr  string
+	mu    sync.Mutex
+	seen  []string // method, path and the name of all requests
+	reply func(n int, r *http.Request) (wire string, hangUp bool)
+}
+
+const (
+	heldWire   = "HTTP/1.1 202 Accepted\r\nServer-Load: TEXT x0=0.1, x1=0\r\nContent-Length: 19\r\n\r\n{\"cached_tokens\":4}"
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	fullWire   = "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(text string) string { return chunk("data: " + text + "\n\n") }
+
+var wholeStream = streamHead + event(`{"choices":[1]}`) + event(`{"usage":{}}`) + event("[DONE]") +
+	chunk(": Server-Load: TEXT x0=0.2, x1=0\n\n") + "0\r\n\r\n"
+
+// newBox listens at an address of its own: the platform reaches engines at any in 127.0.0.0/8.
+func newBox(t *testing.T, at string, reply func(n int, r *http.Request) (string, bool)) *box {
+	l, err := net.Listen("tcp", at+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	b := &box{addr: l.Addr().String(), reply: reply}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *box) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.seen = append(b.seen, r.Method+" "+r.URL.Path+" "+r.Header.Get("Request-Id"))
+		n := len(b.seen)
+		b.mu.Unlock()
+		wire, hangUp := "HTTP/1.1 204 No Content\r\n\r\n", false
+		if r.Method == http.MethodPost {
+			wire, hangUp = b.reply(n, r)
+		} else if r.Method == http.MethodGet {
+			wire = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nTEXT x0=0.1, x1=0.0\n"
+		}
+		io.WriteString(c, wire)
+		if hangUp {
+			return
+		}
+	}
+}
+
+func (b *box) saw(what string) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.seen {
+		if strings.HasPrefix(s, what) {
+			n++
+		}
+	}
+	return n
+}
+
+// listed is a source that has one list.
+type listed []roster.Entry
+
+func (l listed) Run(ctx context.Context, take func(roster.List), _ func(error)) {
+	take(roster.List{Revision: 1, Engines: l})
+	<-ctx.Done()
+}
+
+const platformTold = `{"name":"n0","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":%d},
+ "settings":{"areas":["a"],"zone":0,"index":0,"peers_total":1,"tick_us":4000,"flavors":["m1","m2"],"ceilings":{
+ "try_limit":5,"cancel":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000},"report":{
+ "how":"inline","fields":["x0","x1"]},"family_info":{"stage_of_kind":["read","write"],"pin_limit_us":1000000,
+ "kind_memory_tokens":[100000,100000]},"classes":[{"name":"chat","effect":"retryable","worth":1,"objective_us":1000000},
+ {"name":"alert","effect":"fragile","worth":5,"objective_us":1000000}],"obligations":{"drain_grace_us":250000}}}`
+
+// onPlatform is a node on the platform with one reader and one writer.
+func onPlatform(t *testing.T, sockets int, alter func(*settings.Deployment), reader, writer *box) *edge.Node {
+	told, err := platform.ReadTold("test", fmt.Appendf(nil, platformTold, sockets))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := told.Deployment("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Chat = "127.0.0.1:0"
+	if alter != nil {
+		alter(d)
+	}
+	n := edge.NewOn(d, zap.NewNop(), listed{
+		{Engine: "s-1", Host: reader.addr, Kind: "m1", Zone: "a", Weight: 1, State: roster.Ready},
+		{Engine: "s-2", Host: writer.addr, Kind: "m2", Zone: "a", Weight: 1, State: roster.Ready}},
+		1, platform.New(told.Reports()))
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if r, err := http.Get("http://" + n.Addr() + "/_health"); err == nil {
+			r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return n
+			}
+		}
+		if time.Now().After(end) {
+			t.Fatal("never ready")
+		}
+	}
+}
+
+// call is one request, and its answer to the end of the connection or of the answer.
+func call(t *testing.T, n *edge.Node, name, route string) (status int, body string, err error) {
+	t.Helper()
+	r, _ := http.NewRequest(http.MethodPost, "http://"+n.Addr()+"/v1/chat/completions", strings.NewReader(`{"model":"chat"}`))
+	for k, v := range map[string]string{"Request-Id": name, "Request-Class": route, "Affinity-Key": "k", "Request-Timeout": "3.0"} {
+		r.Header.Set(k, v)
+	}
+	answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(data), err
+}
+
+func always(wire string) func(int, *http.Request) (string, bool) {
+	return func(int, *http.Request) (string, bool) { return wire, false }
+}
+
+const allEvents = "data: {\"choices\":[1]}\n\ndata: {\"usage\":{}}\n\ndata: [DONE]\n\n"
+
+// All events of a stream come through unchanged, the reader is asked first, and a name is taken once.
+func TestPlatformCall(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	status, body, err := call(t, n, "a1", "chat")
+	if status != 200 || err != nil || body != allEvents {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if reader.saw("POST /v1/chat/completions a1") != 1 || writer.saw("POST /v1/chat/completions a1") != 1 {
+		t.Errorf("reader saw %q, writer %q", reader.seen, writer.seen)
+	}
+	if status, _, err := call(t, n, "a1", "chat"); status != http.StatusConflict || err != nil {
+		t.Errorf("the same name again: %d %v", status, err)
+	}
+	if status, _, _ := call(t, n, "a2", "unheard-of"); status != http.StatusNotFound {
+		t.Errorf("an unknown route: %d", status)
+	}
+}
+
+// What more than an answer comes on a line belongs to nothing: interim answers are passed over, and a second answer
+// directly behind must not be taken for the next inference's.
+func TestPlatformMoreThanAnAnswer(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+heldWire))
+	strange := strings.ReplaceAll(wholeStream, "[1]", "[99]")
+	writer := newBox(t, "127.0.0.3", always("HTTP/1.1 102 Processing\r\n\r\n"+wholeStream+strange))
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	for i := range 30 {
+		if status, body, err := call(t, n, fmt.Sprint("b", i), "chat"); status != 200 || err != nil || body != allEvents {
+			t.Fatalf("%d: %d %q %v", i, status, body, err)
+		}
+	}
+}
+
+// A stream that is spoilt or breaks once it has begun ends with its connection and without a last chunk. Before that
+// it may have run: a non-retriable inference gets its error and is not sent again.
+func TestPlatformSpoiltStreams(t *testing.T) {
+	begun := streamHead + event(`{"choices":[1]}`)
+	for name, wire := range map[string]string{"a bad size": begun + "zz\r\n", "a chunk of 3 GB": begun + "c0000000\r\nxx",
+		"a size that does not fit": begun + "1\r\nxyz\r\n", "a break": begun} {
+		reader := newBox(t, "127.0.0.2", always(heldWire))
+		writer := newBox(t, "127.0.0.3", func(int, *http.Request) (string, bool) { return wire, name == "a break" })
+		n := onPlatform(t, 1024, nil, reader, writer)
+		if status, body, err := call(t, n, "c1", "alert"); status != 200 || err == nil || !strings.Contains(body, "[1]") {
+			t.Errorf("%s: %d %q, ended with %v", name, status, body, err)
+		}
+		n.Stop()
+	}
+	for name, wire := range map[string]string{"noise": "\x00\x01\r\n\r\nxx", "an endless head": "HTTP/1.1 200 OK\r\nX: " +
+		strings.Repeat("x", 20<<10), "an end at once": streamHead + "0\r\n\r\n"} {
+		reader := newBox(t, "127.0.0.2", always(heldWire))
+		writer := newBox(t, "127.0.0.3", always(wire))
+		n := onPlatform(t, 1024, nil, reader, writer)
+		status, _, err := call(t, n, "c2", "alert")
+		if status != http.StatusBadGateway || err != nil || writer.saw("POST") != 1 {
+			t.Errorf("%s: %d %v, sent %d times", name, status, err, writer.saw("POST"))
+		}
+		n.Stop()
+	}
+}
+
+// Full writers: the state is let go of with the refusal, which names a time to come back.
+func TestPlatformShedLetsGo(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(fullWire))
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	if status, body, err := call(t, n, "d1", "alert"); status != http.StatusServiceUnavailable || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	for end := time.Now().Add(2 * time.Second); reader.saw("DELETE /v1/holds/d1") == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the state is not let go of")
+		}
+	}
+}
+
+// A crowd that connects and says nothing is closed in time and does not keep others out.
+func TestPlatformSilentCrowd(t *testing.T) {
+	n := onPlatform(t, 96, func(d *settings.Deployment) { d.Limits.FirstTime = 150 * time.Millisecond },
+		newBox(t, "127.0.0.2", always(heldWire)), newBox(t, "127.0.0.3", always(wholeStream)))
+	defer n.Stop()
+	var closed sync.WaitGroup
+	for range 200 {
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		closed.Go(func() {
+			defer c.Close()
+			c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := io.ReadAll(c); err != nil && !strings.Contains(err.Error(), "reset") {
+				t.Error("not closed:", err)
+			}
+		})
+	}
+	if status, _, err := call(t, n, "e1", "chat"); status != 200 || err != nil {
+		t.Errorf("beside the crowd: %d %v", status, err)
+	}
+	closed.Wait()
+}
+
+// A node that is told to stop still answers what comes while it lingers, and then ends by itself.
+func TestPlatformStop(t *testing.T) {
+	n := onPlatform(t, 1024, func(d *settings.Deployment) { d.Linger = 300 * time.Millisecond },
+		newBox(t, "127.0.0.2", always(heldWire)), newBox(t, "127.0.0.3", always(wholeStream)))
+	over := make(chan error, 1)
+	go func() { over <- n.Drain(context.Background()) }()
+	if status, body, err := call(t, n, "f1", "alert"); status != 200 || err != nil || body != allEvents {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
+
+// Nodes hear one another, and nobody else.
+func TestPeers(t *testing.T) {
+	other, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	d := settings.Defaults()
+	n := edge.New(d, zap.NewNop(), listed{}, 1)
+	if err := n.HearPeers("127.0.0.1:0", []string{"127.0.0.9:9", other.LocalAddr().String()}, ""); err != nil {
+		t.Fatal(err)
+	}
+	n.Tell(1, "kept")
+	n.Tell(1, strings.Repeat("x", 300)) // over the bound: never sent
+	n.Tell(-1, "to all")
+	buffer := make([]byte, 512)
+	for _, want := range []string{"kept", "to all"} {
+		other.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if size, _, err := other.ReadFrom(buffer); err != nil || string(buffer[:size]) != want {
+			t.Fatalf("%q %v, want %q", buffer[:size], err, want)
+		}
+	}
+}
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -133,3 +133,22 @@
 		t.Errorf("bytes of the closed still count: %d", got)
 	}
 }
+
+// Who dribbles a first call in, or says nothing, has one time for all of it; who was served has each call's own.
+func TestFirstCallHasOneTime(t *testing.T) {
+	b := bounds(9, 9, 100)
+	b.FirstTime = 12
+	g := New(b)
+	for id := int64(1); id <= 3; id++ {
+		g.Open(id, 1)
+	}
+	g.Happen(2, HeadBegan, 9) // late, and then slow
+	g.Happen(3, CallWhole, 2)
+	g.Happen(3, Answered, 3)
+	if !g.Quiet(3) || g.Quiet(1) {
+		t.Error("who was served, and only that, is quiet")
+	}
+	if due := g.Due(14); len(due) != 2 || due[0].ID != 1 || due[1].ID != 2 {
+		t.Errorf("%+v", due)
+	}
+}
