Resets on the way keep no engine out: strikes against the others', hasty lines not reused

Load: reported queues were empty at most engines. The module's own figures at each shed: of seven writers one was counted as healthy, later one or two of seven readers too; the others had one to three strikes, most of them had done well since. What passed on the sockets: of 900 connections some 110 were reset by the way, spread over all engines.

`healthy` kept each engine out for 2 to 16 s for each reset, whoever did well since; a struck writer was not tried while old streams went on there; the few left jammed, and clients' retries kept the jam. Where none was left, the one that was gone refused four sends of an inference in a millisecond, as it had the fewest streams. And the node told resets of kept connections, which speak of the way, as if they spoke of the engine; it always used the youngest one, which is the likeliest to be closing behind its answer.

Strikes of an engine that did well since count against the median of its role; one on trial is tried after half a second if others are struck as often, beside its streams that have begun; a stream to its end ends a trial. An engine that a send came back from is not sent to again at once. `conns` does not use kept connections again for 10 s where one ended too soon, and the module hears that such an end is no sign of the engine (`Outcome.Stale`).

Could do harm where more than half of a role fails in part: the median then excuses all of it.

Lines at fault: brain.go healthy, usable, sendToWriter; lines.go carry.

--- a/brain/api.go
+++ b/brain/api.go
@@ -67,6 +67,7 @@
 	Ended   bool
 	Note    float64
 	Report  map[string]float64
+	Stale   bool // a kept connection broke as it was used again: it may have run, but tells nothing of the engine
 }
 
 // ClientGone says that nobody waits for the inference any more.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -264,9 +264,7 @@
 
 func (b *Brain) chooseReader(inf *inference) input {
 	e := b.pickReader(inf, b.loads())
-	// Where nothing else is left, what has just failed there waits a step.
-	hasty := func(s send) bool { return s.engine == e.Engine && b.now-s.at < waitStep }
-	if e == nil || slices.ContainsFunc(inf.sends, hasty) {
+	if e == nil || b.hasty(inf, e) {
 		return noReader
 	}
 	inf.reader = e.Engine
@@ -515,10 +513,21 @@
 		}
 		return noWriter
 	}
+	if b.hasty(inf, e) {
+		return noWriter
+	}
 	inf.writer = e.Engine
 	return b.gate(inf, e)
 }
 
+// hasty is whether a send has just come back from there. Where nothing else is left, the next waits a step: an engine
+// that is gone refuses at once, and would take all sends of an inference within a millisecond.
+func (b *Brain) hasty(inf *inference, e *engine) bool {
+	return slices.ContainsFunc(inf.sends, func(s send) bool {
+		return s.engine == e.Engine && s.writes == e.writer && b.now-s.at < waitStep
+	})
+}
+
 // roomy is the share of its memory up to which a writer counts as empty; 0.85 did far worse among many nodes.
 const roomy = 0.7
 
@@ -577,23 +586,34 @@
 
 // ---- engines
 
+// recently is for how long strikes count: a minute, several times the longest that they keep an engine out.
+const recently = int64(time.Minute)
+
 // usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
 func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
-	fit, well, lags := []*engine{}, []*engine{}, []int64{}
+	fit, well, lags, strikes := []*engine{}, []*engine{}, []int64{}, []int64{}
 	for _, id := range b.ids {
 		if e := b.engines[id]; e.Ready && fits(e) && b.coldRoom(e) {
-			fit = append(fit, e)
+			fit, strikes = append(fit, e), append(strikes, int64(b.since(e.strikes, recently)))
 			if lag, known := b.lag(e, loads[id]); known {
 				lags = append(lags, lag)
 			}
 		}
 	}
-	usual := median(lags)
+	usual, often := median(lags), float64(median(strikes))
 	for _, e := range fit {
-		if b.healthy(inf, e, loads[e.Engine], usual) {
+		if b.healthy(inf, e, loads[e.Engine], usual, often) {
 			well = append(well, e)
 		}
 	}
+	// Of those in trouble, some have done well since, and any other is better than one that this has come back from:
+	// an engine that is gone has the fewest streams. It harms where all fail alike, as turns are then less even.
+	for _, better := range []func(*engine) bool{func(e *engine) bool { return !e.trial && !inf.backFrom(e) },
+		func(e *engine) bool { return !inf.backFrom(e) }} {
+		if row := slices.DeleteFunc(slices.Clone(fit), func(e *engine) bool { return !better(e) }); len(well) == 0 {
+			well = row
+		}
+	}
 	if len(well) > 0 {
 		return well
 	}
@@ -601,20 +621,36 @@
 }
 
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps
-// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it. A busy
-// fleet's lags look like trouble too, so they are measured against other engines'.
-func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64) bool {
+// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it, beside the
+// streams that have begun there. A busy
+// fleet's lags look like trouble too, so they are measured against other engines'; so are the strikes of an engine
+// that has done well since: what breaks sends on the way strikes all alike, and to keep out whoever was met last
+// leaves all to one or two. It does harm where most engines fail in part.
+func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64, often float64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
 	if lag, _ := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
 		return false
 	}
-	n := int(b.since(e.strikes, int64(time.Minute)))
-	if n > 0 && b.now-e.strikes[len(e.strikes)-1] < int64(2*time.Second)<<min(n-1, 3) {
-		return false
+	if len(e.strikes) > 0 {
+		// Half a second: all that one blow breaks comes within it.
+		out, more := int64(0), b.since(e.strikes, recently)-often
+		if e.trial {
+			out = int64(500 * time.Millisecond)
+		}
+		if more > 0 {
+			out = int64(2*time.Second) << min(int(more)-1, 3)
+		}
+		if b.now-e.strikes[len(e.strikes)-1] < out {
+			return false
+		}
 	}
 	// What has come back from there once tries another first.
-	back := func(s send) bool { return s.engine == e.Engine && !s.kept }
-	return (!e.trial || l.reads+l.streams == 0) && !slices.ContainsFunc(inf.sends, back)
+	return (!e.trial || len(l.waits) == 0) && !inf.backFrom(e)
+}
+
+// backFrom is whether a send has come back from an engine with nothing.
+func (inf *inference) backFrom(e *engine) bool {
+	return slices.ContainsFunc(inf.sends, func(s send) bool { return s.engine == e.Engine && !s.kept })
 }
 
 // strike notes trouble with an engine.
@@ -631,6 +667,8 @@
 		return
 	}
 	switch o.Verdict {
+	case Completed:
+		e.trial, e.goodAt = false, b.now // a stream to its end is a sign of health too
 	case ReadDone:
 		b.learnKept(inf, s.engine, o.Note)
 		b.learnLag(e, o.Lag, s.at)
@@ -641,7 +679,7 @@
 		// 150 ms: about the time in which a busy writer ends one answer.
 		e.fullUntil = b.now + int64(150*time.Millisecond)
 	case TimedOut, NotConnected, ConnectionLost:
-		if inf.state != ended && b.now < inf.GiveUpAt-b.margin() {
+		if !o.Stale && inf.state != ended && b.now < inf.GiveUpAt-b.margin() {
 			b.strike(e)
 		}
 	case EngineError:
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -314,3 +314,63 @@
 		}
 	}
 }
+
+// Found on sockets, a day of resets: what breaks on the way was held against one engine after the other, until a
+// single writer was left for all.
+func TestWhatBreaksOnTheWayKeepsNobodyOut(t *testing.T) {
+	n := newNode(t, nil)
+	e := n.b.engines["w0"]
+	well := func() bool {
+		n.b.now = n.now
+		return n.b.healthy(&inference{}, e, load{}, 0, 1)
+	}
+	writer := n.read(20, 1, n.arrive(1, 0, "s"))
+	n.step(20, Outcome{Inf: 1, Send: 1, Engine: writer, Verdict: ConnectionLost, Stale: true})
+	if n.b.engines[writer].trial || len(n.b.engines[writer].strikes) > 0 {
+		t.Fatal("a kept connection that broke as it was used again is a strike")
+	}
+	e.strikes, e.trial = []int64{n.now}, true
+	if well() {
+		t.Fatal("struck just now, and tried at once")
+	}
+	n.now += 600 * ms
+	if !well() {
+		t.Fatal("as often struck as others, and kept out past the blow")
+	}
+	if e.trial = false; !n.b.healthy(&inference{}, e, load{}, 0, 1) || n.b.healthy(&inference{}, e, load{}, 0, 0) {
+		t.Fatal("who did well since is kept out, or not, whatever others' strikes are")
+	}
+}
+
+// A struck writer is tried beside streams that go on there, and one that ends well ends the trial.
+func TestTrialBesideOpenStreams(t *testing.T) {
+	n := newNode(t, nil)
+	_, writer := n.serve(1, "s")
+	e := n.b.engines[writer]
+	e.strikes, e.trial = []int64{n.now}, true
+	n.b.now += 5000 * ms
+	if !n.b.healthy(&inference{}, e, n.b.loads()[writer], 0, 0) {
+		t.Fatal("not tried while a stream goes on there")
+	}
+	n.step(0, Outcome{Inf: 1, Send: 1, Engine: writer, Verdict: Completed, Ended: true})
+	if e.trial {
+		t.Fatal("still on trial after a stream to its end")
+	}
+}
+
+// Found on sockets: a writer that was gone refused four sends within a millisecond, as it had the fewest streams.
+func TestNoTwoSendsAtOnceToWhatRefused(t *testing.T) {
+	n := newNode(t, nil)
+	n.engines(EngineEntry{}, "r0") // the list stays; only what was struck changes
+	for _, id := range []string{"w0", "w1"} {
+		n.b.engines[id].strikes, n.b.engines[id].trial = []int64{n.now}, true
+	}
+	first := n.read(20, 1, n.arrive(1, 0, "s"))
+	second := n.step(1, Outcome{Inf: 1, Send: 1, Engine: first, Verdict: NotConnected})
+	if second == "" || second == first {
+		t.Fatalf("%q after %q", second, first)
+	}
+	if again := n.step(1, Outcome{Inf: 1, Send: 2, Engine: second, Verdict: NotConnected}); again != "" {
+		t.Fatalf("%q at once after both refused", again)
+	}
+}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -5,7 +5,9 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
+	"time"
 )
 
 // State is where a connection stands. There is none for a half-closed one: the sockets' library ends a connection
@@ -83,13 +85,15 @@
 	bounds Bounds
 	conns  map[int64]*conn
 	of     map[string][]*conn
+	hasty  map[string]int64 // when a kept connection of an engine last ended too soon
+	hurry  int64            // when one of any engine did
 	nextID int64
 	took   uint64 // rows of the table taken so far, a bit each
 }
 
 // New makes an empty pool.
 func New(b Bounds) *Pool {
-	return &Pool{bounds: b, conns: map[int64]*conn{}, of: map[string][]*conn{}}
+	return &Pool{bounds: b, conns: map[int64]*conn{}, of: map[string][]*conn{}, hasty: map[string]int64{}}
 }
 
 // Lease is what Take found. Evict is a connection that must be closed to make room, 0 for none.
@@ -154,6 +158,41 @@
 	return l
 }
 
+// hastyFor is how long kept connections that end too soon are remembered. Ten seconds: trouble on the way lasts for
+// that long, and a connection for each send costs an engine a millisecond of work.
+const hastyFor = int64(10 * time.Second)
+
+// soon is under what idle time the end of a kept connection is no matter of its age: engines keep them for seconds.
+const soon = int64(time.Second)
+
+// Hasty notes that a kept connection ended too soon: as it was written to, or hardly idle. This guards against whatever
+// closes connections behind an answer, engine or way, as what is written to such a one may have run. It does harm where
+// an engine restarts often, as all of its first sends then pay for a connection of their own.
+func (p *Pool) Hasty(engine string, now int64) { p.hasty[engine], p.hurry = now, now }
+
+// HastyFor is, for each engine still remembered so, for how long; the empty name stands for any.
+func (p *Pool) HastyFor(now int64) map[string]int64 {
+	row := map[string]int64{}
+	for engine, at := range p.hasty {
+		if now-at < hastyFor {
+			row[engine] = now - at
+		}
+	}
+	if p.hurry > 0 && now-p.hurry < hastyFor {
+		row[""] = now - p.hurry
+	}
+	return row
+}
+
+// Trust is for how long a connection to an engine may have been idle to be used again, atMost where nothing speaks
+// against it. What must not run twice trusts no engine while any has been hasty.
+func (p *Pool) Trust(engine string, now, atMost int64, twice bool) int64 {
+	if at, ok := p.hasty[engine]; ok && now-at < hastyFor || !twice && p.hurry > 0 && now-p.hurry < hastyFor {
+		return 0
+	}
+	return atMost
+}
+
 // Happen takes an input for one connection. What fits no line changes nothing and needs nothing.
 func (p *Pool) Happen(id int64, in Input, now int64) Effect {
 	c := p.conns[id]
@@ -164,6 +203,9 @@
 	if i < 0 {
 		return None
 	}
+	if in == Broken && c.state == Idle && now-c.since < soon {
+		p.Hasty(c.engine, now)
+	}
 	c.state, c.since = table[i].next, now
 	p.took |= 1 << i
 	if c.state == Closed {
@@ -171,6 +213,7 @@
 		p.of[c.engine] = slices.DeleteFunc(p.of[c.engine], func(o *conn) bool { return o == c })
 		if len(p.of[c.engine]) == 0 {
 			delete(p.of, c.engine)
+			maps.DeleteFunc(p.hasty, func(_ string, at int64) bool { return now-at >= hastyFor })
 		}
 	}
 	return table[i].effect
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -93,3 +94,31 @@
 		t.Fatal("no spare line")
 	}
 }
+
+// Kept connections that end behind an answer are not trusted for a while: none of that engine's, and for what must not
+// run twice nobody's. One that ends of age tells nothing.
+func TestHastyEnds(t *testing.T) {
+	p := New(Bounds{PerEngine: 9, Dials: 9, IdleNs: int64(15 * time.Second)})
+	idle := func(engine string, now int64) int64 {
+		l := p.Take(engine, now, 0, 0)
+		p.Happen(l.ID, Dialled, now)
+		p.Happen(l.ID, Released, now)
+		return l.ID
+	}
+	now, s := int64(1), int64(time.Second)
+	p.Happen(idle("a", now), Broken, now+5*s)
+	if p.Trust("a", now+5*s, 9, false) != 9 {
+		t.Error("an end of age counts")
+	}
+	p.Happen(idle("a", now), Broken, now+s/100)
+	for _, c := range []struct {
+		engine string
+		after  int64
+		twice  bool
+		want   int64
+	}{{"a", s, true, 0}, {"a", s, false, 0}, {"b", s, true, 9}, {"b", s, false, 0}, {"a", 11 * s, false, 9}} {
+		if got := p.Trust(c.engine, now+s/100+c.after, 9, c.twice); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+	}
+}
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -26,6 +26,7 @@
 	mu    sync.Mutex
 	seen  []string // method, path and the name of all requests
 	reply func(n int, r *http.Request) (wire string, hangUp bool)
+	once  bool // what comes second on a connection resets it
 }
 
 const (
@@ -64,9 +65,9 @@
 func (b *box) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
-	for {
+	for nth := 0; ; nth++ {
 		r, err := http.ReadRequest(in)
-		if err != nil {
+		if err != nil || b.once && nth > 0 {
 			return
 		}
 		io.Copy(io.Discard, r.Body)
@@ -232,6 +233,24 @@
 	}
 }
 
+// Connections that die behind their first answer: one inference that must not run twice may meet that, not each.
+func TestPlatformHastyConnections(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	reader.once, writer.once = true, true
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	lost := 0
+	for i := range 12 {
+		if status, _, err := call(t, n, fmt.Sprint("g", i), "alert"); status != 200 || err != nil {
+			lost++
+		}
+	}
+	if lost > 1 {
+		t.Errorf("%d of 12 lost", lost)
+	}
+}
+
 // Full writers: the state is let go of with the refusal, which names a time to come back.
 func TestPlatformShedLetsGo(t *testing.T) {
 	reader := newBox(t, "127.0.0.2", always(heldWire))
--- a/node/core.go
+++ b/node/core.go
@@ -97,6 +97,7 @@
 	report    map[string]float64
 	verdict   brain.Verdict
 	ended     bool
+	stale     bool // its line had been given up by the other side before it was written to
 	why       string
 }
 
@@ -490,7 +491,7 @@
 		o.finish(inf, completed, "") // an answer without a token
 	}
 	o.tell(brain.Outcome{Inf: inf.id, Send: s.n, Engine: s.engine, Verdict: r.Verdict, Lag: o.now - s.at,
-		Ended: inf.final != "", Note: note, Report: s.report})
+		Ended: inf.final != "", Note: note, Report: s.report, Stale: s.stale})
 	// What came after the end is let go of here too: a read whose inference nobody waits for.
 	if inf.final != "" {
 		o.letGo(inf)
--- a/node/digest.go
+++ b/node/digest.go
@@ -35,8 +35,10 @@
 		} else if l.errand != nil {
 			carries = fmt.Sprint("errand ", l.errand.name, l.errand.send)
 		}
-		rows = append(rows, fmt.Sprintln("line", l.Engine, state, o.now-since, carries, l.restSince > 0, l.socket != nil))
+		rows = append(rows, fmt.Sprintln("line", l.Engine, state, o.now-since, carries, l.restSince > 0, l.socket != nil,
+			l.again, min(o.now-l.wroteAt, atOnce)))
 	}
+	fmt.Fprintln(w, o.pool.HastyFor(o.now))
 	for e := range o.errands {
 		rows = append(rows, fmt.Sprintln("errand", e.engine, e.name, e.send, o.now-e.at, e.tries))
 	}
--- a/node/lines.go
+++ b/node/lines.go
@@ -41,7 +41,8 @@
 	if e != nil {
 		spare = spareLines
 	}
-	lease := o.pool.Take(engineID, o.now, atMost, spare)
+	twice := s == nil || !s.writes || o.d.Routes[s.inf.route].Effect == "retriable"
+	lease := o.pool.Take(engineID, o.now, o.pool.Trust(engineID, o.now, atMost, twice), spare)
 	if lease.Evict != 0 {
 		o.closeLine(lease.Evict)
 	}
@@ -53,7 +54,7 @@
 		l = &Line{ID: lease.ID, Engine: engineID, Host: o.host(engineID), dialAt: o.now}
 		o.lines[l.ID] = l
 	}
-	l.send, l.errand, l.request = s, e, request
+	l.send, l.errand, l.request, l.again = s, e, request, lease.Reused
 	if s != nil {
 		s.line = l
 	}
@@ -99,7 +100,7 @@
 		o.took |= 1 << s.machine.Happen(attempt.Connected).Row
 	}
 	request := l.request
-	l.request = nil
+	l.request, l.wroteAt = nil, o.now
 	if err := l.socket.Write(request); err != nil {
 		return // its end follows, and is judged by how much was written
 	}
@@ -230,9 +231,16 @@
 	o.dropLoad(l, attempt.Reset)
 }
 
+// atOnce is how soon a line ends that the other side had given up before it was written to: a way there and back.
+const atOnce = int64(20 * time.Millisecond)
+
 // dropLoad tells what a line carried that it is gone.
 func (o *Core) dropLoad(l *Line, in attempt.Input) {
 	if s := l.send; s != nil {
+		if in == attempt.Reset && l.again && s.heads == 0 && o.now-l.wroteAt < atOnce {
+			s.stale = true
+			o.pool.Hasty(l.Engine, o.now)
+		}
 		o.happen(s, in, "the connection is gone")
 	}
 	if e := l.errand; e != nil {
