--- a/brain/brain.go
+++ b/brain/brain.go
@@ -600,7 +600,8 @@
 			}
 		}
 	}
-	usual, often := median(lags), float64(median(strikes))
+	// The usual is of the others: an engine far over it is the largest. Of two or four, half would else be usual.
+	usual, often := median(slices.Sorted(slices.Values(lags))[:max(0, len(lags)-1)]), float64(median(strikes))
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual, often) {
 			well = append(well, e)
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -374,3 +374,18 @@
 		t.Fatalf("%q at once after both refused", again)
 	}
 }
+
+// Found on sockets: of four readers one was several times slower than the others, and half of them was usual.
+func TestUsualLagIsOfTheOthers(t *testing.T) {
+	n := newNode(t, nil)
+	n.engines(EngineEntry{}, "r2", "r3")
+	for id, lag := range map[string]int64{"r0": 20, "r1": 260, "r2": 380, "r3": 900} {
+		n.b.engines[id].samples = []sample{{n.now, lag * ms}}
+	}
+	inf := &inference{Arrival: Arrival{Prompt: 2000}}
+	for _, e := range n.b.usable(inf, n.b.loads(), func(e *engine) bool { return e.reader }) {
+		if e.Engine == "r3" {
+			t.Error("the slow one is as good as the others")
+		}
+	}
+}
--- a/node/lines.go
+++ b/node/lines.go
@@ -190,6 +190,11 @@
 		o.spoil(l)
 		return
 	}
+	// One that would not be used again would only take a descriptor, here and at the engine.
+	if o.pool.Trust(l.Engine, o.now, 1, true) == 0 {
+		o.spoil(l)
+		return
+	}
 	if o.pool.Happen(l.ID, conns.Released, o.now) == conns.CloseIt {
 		o.closeLine(l.ID)
 	}
