--- a/edge/node.go
+++ b/edge/node.go
@@ -244,7 +244,7 @@
 	var err error
 	for err == nil {
 		var h node.Holding
-		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && time.Since(begun) >= n.d.Linger {
+		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && !h.Stays && time.Since(begun) >= n.d.Linger {
 			break
 		}
 		select {
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -329,3 +329,94 @@
 		}
 	}
 }
+
+// keepAsking calls over kept connections until that fails, and says how long it went well.
+func keepAsking(n *edge.Node, calls string) (served int, lasted time.Duration) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 1}}
+	begun := time.Now()
+	for ; time.Since(begun) < 10*time.Second; served++ {
+		r, _ := http.NewRequest(http.MethodPost, "http://"+n.Addr()+"/v1/chat/completions", strings.NewReader("{}"))
+		for k, v := range map[string]string{"Request-Id": fmt.Sprint(calls, served), "Request-Class": "chat", "Request-Timeout": "3"} {
+			r.Header.Set(k, v)
+		}
+		answer, err := client.Do(r)
+		if err != nil {
+			break
+		}
+		io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+		if answer.StatusCode != 200 {
+			break
+		}
+		lasted = time.Since(begun)
+	}
+	return served, lasted
+}
+
+// A node that is told to stop while no other is heard stays with its clients; one that hears another leaves at once.
+func TestPlatformStaysWhileAlone(t *testing.T) {
+	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	for _, alone := range []bool{true, false} {
+		var listen string
+		n := onPlatform(t, 1024, func(d *settings.Deployment) {
+			d.Linger, d.Stay, d.HandOver = 50*time.Millisecond, 800*time.Millisecond, 2*time.Second
+		}, newBox(t, "127.0.0.2", always(heldWire)), newBox(t, "127.0.0.3", always(wholeStream)))
+		if !alone {
+			free, err := net.ListenPacket("udp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listen = free.LocalAddr().String()
+			free.Close()
+			if err := n.HearPeers(listen, []string{listen, peer.LocalAddr().String()}, ""); err != nil {
+				t.Fatal(err)
+			}
+			to, _ := net.ResolveUDPAddr("udp", listen)
+			go func() { // datagrams may be lost, and are told again as long as the node is there
+				for range 2000 {
+					peer.WriteTo([]byte("kept"), to)
+					time.Sleep(time.Millisecond)
+				}
+			}()
+		}
+		over := make(chan error, 1)
+		go func() { over <- n.Drain(context.Background()) }()
+		served, lasted := keepAsking(n, fmt.Sprint("h", alone))
+		if stayed := lasted > 400*time.Millisecond; served == 0 || stayed != alone {
+			t.Errorf("alone %v: %d served over %v", alone, served, lasted)
+		}
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// What a stopping node took while it stayed is handed over before it is killed.
+func TestPlatformHandsOver(t *testing.T) {
+	writer := newBox(t, "127.0.0.3", always(streamHead+event("{}"))) // a stream that goes on
+	n := onPlatform(t, 1024, func(d *settings.Deployment) {
+		d.Linger, d.Stay, d.HandOver = time.Millisecond, 400*time.Millisecond, 600*time.Millisecond
+	}, newBox(t, "127.0.0.2", always(heldWire)), writer)
+	over := make(chan error, 1)
+	go func() { over <- n.Drain(context.Background()) }()
+	for { // until it says that it stops
+		r, err := http.Get("http://" + n.Addr() + "/_health")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		if r.StatusCode == http.StatusServiceUnavailable {
+			break
+		}
+	}
+	if status, body, err := call(t, n, "i1", "chat"); status != 200 || err == nil || !strings.Contains(body, "{}") {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -147,7 +147,7 @@
 		o.gate.Hold(c.ID, -a.Bytes)
 	}
 	c.serving, c.current = false, nil
-	if o.stopping && o.d.Linger > 0 && len(c.waiting) == 0 {
+	if o.gone && o.d.Linger > 0 && len(c.waiting) == 0 {
 		// What its client writes meanwhile is not read, so the client asks elsewhere as soon as this one is closed.
 		c.cut = true
 		keep = false
--- a/node/core.go
+++ b/node/core.go
@@ -56,6 +56,8 @@
 	answeredNow []*open
 	stopping    bool
 	stopAt      int64 // when it was told to stop
+	gone        bool  // it has left its clients since
+	heardAt     int64 // when another node was last heard
 	swept       int64
 }
 
@@ -164,6 +166,8 @@
 const sweepEvery = int64(25 * time.Millisecond)
 
 func (o *Core) sweep() {
+	o.leave()
+	o.handOver()
 	o.sweepLines()
 	o.closeParting()
 	for _, due := range o.gate.Due(o.now) {
@@ -334,7 +338,7 @@
 		o.reply(c, a, o.speaks.Refusal(http.StatusConflict, "known", "", "an inference has this name already"))
 		return
 	}
-	if o.stopping && o.now-o.stopAt >= int64(d.Linger) {
+	if !o.taking() {
 		o.shedCall(c, a, http.StatusServiceUnavailable, "this node is stopping", 0)
 		return
 	}
@@ -657,4 +661,7 @@
 }
 
 // Heard takes a text of another node.
-func (o *Core) Heard(from int, text string) { o.tell(brain.PeerMessage{From: from, Text: text}) }
+func (o *Core) Heard(from int, text string) {
+	o.heardAt = o.now
+	o.tell(brain.PeerMessage{From: from, Text: text})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,9 +5,7 @@
 
 import (
 	"container/heap"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"sandcourse/brain"
@@ -136,19 +134,11 @@
 }
 
 // Stopping makes the node take nothing new. Where the settings let it linger, calls that are on their way are still
-// taken for that long, and connections end with their answers, so that clients go elsewhere.
+// taken for that long, and then it leaves: see leave.
 func (o *Core) Stopping() {
-	if o.stopping {
-		return
-	}
-	o.stopping, o.stopAt = true, o.now
-	if o.d.Linger == 0 {
-		return
-	}
-	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
-		if c := o.clients[id]; o.gate.Quiet(id) {
-			o.closeClient(c)
-		}
+	if !o.stopping {
+		o.stopping, o.stopAt = true, o.now
+		o.leave()
 	}
 }
 
@@ -164,10 +154,11 @@
 // Holding is what a node holds now.
 type Holding struct {
 	Clients, Inferences, Bytes, Lines, Errands int
+	Stays                                      bool // it is told to stop, and has not left its clients yet
 }
 
 // Holding counts.
 func (o *Core) Holding() Holding {
 	clients, _, bytes := o.gate.Holding()
-	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands)}
+	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands), o.stopping && !o.gone}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -66,11 +66,14 @@
 	Finish        time.Duration // how long open inferences may go on once the node is told to stop
 	Probes        bool
 	// What only a platform's configuration says: the module's facts as they are given, the names of zones by their
-	// numbers, how long a node that is told to stop takes what still comes, and bytes that may wait for its owner.
-	Given  map[string]any
-	Zones  []string
-	Linger time.Duration
-	Inbox  int
+	// numbers, how long a node that is told to stop takes what still comes, how long it stays with its clients where no
+	// other node is heard, when it hands over what came later than it had to take, and bytes that may wait for its owner.
+	Given    map[string]any
+	Zones    []string
+	Linger   time.Duration
+	Stay     time.Duration
+	HandOver time.Duration
+	Inbox    int
 }
 
 // Engines that one script may list.
