A slow reader is told from a busy one by the time it needs for its reported work

Lags alone can't tell it from a jam: sessions of a hot beginning make high lags at engines that are well (brain.go healthy).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -586,6 +586,19 @@
 
 // ---- engines
 
+// slow is whether a reader needs three times as long for its work as the median of readers: reported tokens that wait
+// and what it had to read itself. In a jam that is no sign of trouble lags are high and this is not, so it tells a slow
+// engine from a busy one. It does harm where reports lie low: then honest ones keep out nobody else.
+func (b *Brain) slow(e *engine) bool {
+	var all []int64
+	for _, id := range b.ids {
+		if o := b.engines[id]; o.Ready && len(o.paces) > 2 {
+			all = append(all, median(o.paces))
+		}
+	}
+	return len(e.paces) > 2 && len(all) > 2 && median(e.paces) > 3*median(all)
+}
+
 // recently is for how long strikes count: a minute, several times the longest that they keep an engine out.
 const recently = int64(time.Minute)
 
@@ -629,7 +642,7 @@
 // leaves all to one or two. It does harm where most engines fail in part.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64, often float64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
-	if lag, _ := b.lag(e, l); lag > 3*usual && float64(lag) > b.target(inf)/3 {
+	if lag, _ := b.lag(e, l); float64(lag) > b.target(inf)/3 && (lag > 3*usual || b.slow(e)) {
 		return false
 	}
 	if len(e.strikes) > 0 {
@@ -673,6 +686,10 @@
 	case ReadDone:
 		b.learnKept(inf, s.engine, o.Note)
 		b.learnLag(e, o.Lag, s.at)
+		// Half a thousand tokens: less work than that says more of the way than of the engine.
+		if work := s.waits - 1 + (inf.Prompt-o.Note)/1000; s.waits > 0 && work > 0.5 {
+			e.paces = last(e.paces, int64(float64(o.Lag)/work), 5)
+		}
 		if s.waits > 0 {
 			b.paces = last(b.paces, int64(float64(o.Lag)/s.waits), 32)
 		}
--- a/brain/digest.go
+++ b/brain/digest.go
@@ -26,7 +26,7 @@
 	fmt.Fprintln(w, b.draws, b.turn, b.now-b.firstAt, b.prefixes, b.paces, samples(b.expects), samples(b.firsts))
 	for _, id := range b.ids {
 		e := b.engines[id]
-		fmt.Fprintln(w, e.EngineEntry, ago(e.sent), ago(e.did), samples(e.samples), ago(e.strikes), e.trial,
+		fmt.Fprintln(w, e.EngineEntry, ago(e.sent), ago(e.did), samples(e.samples), e.paces, ago(e.strikes), e.trial,
 			b.now-e.coldFrom, max(0, e.fullUntil-b.now), e.memory, b.now-e.reportAt, e.waits, b.now-e.askedAt,
 			b.now-e.heardAt, b.now-e.silentAt, b.now-e.goodAt)
 	}
--- a/brain/help.go
+++ b/brain/help.go
@@ -193,7 +193,7 @@
 			b.engines[n.Engine] = e
 		}
 		if n.UpSince > e.UpSince {
-			e.coldFrom, e.samples, e.strikes, e.trial = n.UpSince, nil, nil, false
+			e.coldFrom, e.samples, e.paces, e.strikes, e.trial = n.UpSince, nil, nil, nil, false
 			b.dropKept(n.Engine, b.now)
 		}
 		if n.Weight <= 0 {
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -389,3 +389,25 @@
 		}
 	}
 }
+
+// Found on sockets: sessions stuck to a reader that had become slow. A busy one has as high a lag for more work.
+func TestSlowIsNotBusy(t *testing.T) {
+	n := newNode(t, nil)
+	n.engines(EngineEntry{}, "r2")
+	inf := &inference{Arrival: Arrival{Prompt: 4000}}
+	lagged := func(id string, lag int64, waits float64) {
+		e := n.b.engines[id]
+		for range 3 {
+			n.b.learnOutcome(inf, &send{engine: id, waits: 1 + waits}, Outcome{Verdict: ReadDone, Lag: lag * ms})
+		}
+		e.strikes = nil
+	}
+	lagged("r0", 200, 0)
+	lagged("r1", 900, 16) // busy
+	lagged("r2", 900, 0)  // slow
+	for id, want := range map[string]bool{"r0": false, "r1": false, "r2": true} {
+		if e := n.b.engines[id]; n.b.slow(e) != want || n.b.healthy(inf, e, load{}, 800*ms, 0) == want {
+			t.Errorf("%s: slow %v", id, n.b.slow(e))
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -36,6 +36,7 @@
 	sent           []int64  // when the last sends went there
 	did            []int64  // when the last reads or first tokens came from there
 	samples        []sample // the last lags seen
+	paces          []int64  // of its last reads: lag for each thousand tokens that waited or were to be read
 	strikes        []int64  // when trouble was last seen
 	trial          bool     // struck, and nothing good seen since
 	coldFrom       int64    // when it was last seen to start; 0 for long ago
