States are let go of in time: room to tell, kept lines for telling, lost reads told again

(1) The module kept states for the whole pin limit on the platform, though telling takes time: the five eighths that chat had stood on one path of settings.Facts only. (2) conns trusted no kept line of a hasty engine for errands either (lines.go carry), and such lines were closed after use, so letting go always needed a new connection, which a paused engine does not bring up. (3) A read whose connection breaks may go on and hold its state after it was let go of; engines here do not remember that (core.go happen). All three are closed; closing unused lines is taken back.

--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -420,3 +420,17 @@
 		t.Error(err)
 	}
 }
+
+// A read that goes on after its connection broke is let go of again, later.
+func TestPlatformLateReads(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", func(n int, _ *http.Request) (string, bool) { return "", true })
+	n := onPlatform(t, 1024, func(d *settings.Deployment) { d.LateReads = []time.Duration{50 * time.Millisecond} },
+		reader, newBox(t, "127.0.0.3", always(wholeStream)))
+	defer n.Stop()
+	call(t, n, "j1", "chat")
+	for end := time.Now().Add(5 * time.Second); reader.saw("DELETE /v1/holds/j1") < reader.saw("POST")+1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("told %d times of %d lost reads", reader.saw("DELETE"), reader.saw("POST"))
+		}
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -155,8 +155,10 @@
 }
 
 func (o *Core) due(t timer) {
-	if t.errand != nil {
-		o.run(t.errand)
+	if e := t.errand; e != nil {
+		if !e.late || !o.uses(e.name, e.engine) {
+			o.run(e)
+		}
 	} else if t.lives == o.lives {
 		o.tell(brain.TimerDue{Token: t.token})
 	}
@@ -484,6 +486,9 @@
 		// A state of this read has no name here, so no writer will fetch it. The module may wait for a reader
 		// longer than the pin limit with nothing out, so it is let go of now and not with the inference.
 		o.run(&errand{engine: s.engine, name: inf.name, send: s.n})
+		for _, later := range o.d.LateReads {
+			o.after(int64(later), timer{errand: &errand{engine: s.engine, name: inf.name, send: s.n, late: true}})
+		}
 	}
 	if s.machine.Began {
 		if r.Verdict == brain.Completed {
--- a/node/lines.go
+++ b/node/lines.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"sandcourse/attempt"
@@ -17,9 +18,21 @@
 	send   int    // whose state that is
 	at     int64
 	tries  int
+	late   bool // for a read that may have gone on after its connection ended
 	head   *http.Response
 }
 
+// uses is whether an inference of a name has a send out at an engine, or a state there that a writer may still fetch.
+func (o *Core) uses(name, engineID string) bool {
+	for _, inf := range o.infs {
+		if inf.name == name && inf.final == "" {
+			out := func(s *send) bool { return !s.ended && s.engine == engineID }
+			return slices.ContainsFunc(inf.sends, out) || inf.state.Reader == engineID && !inf.began
+		}
+	}
+	return false
+}
+
 // An errand's time and tries. Letting go must be done within the pin limit, so the first three tries are out within
 // 150 ms if connections are refused; the later ones come at doubled distances, for a reader that is away for a
 // second or two. One that has heard none of six drops the state by its own time-out.
@@ -32,6 +45,9 @@
 // errandRest is how long the second try waits; each later one twice as long.
 func (o *Core) errandRest() int64 { return min(int64(50*time.Millisecond), int64(o.d.Rules.Pin)/16) }
 
+// Errands trust kept lines whatever became of others: letting go may be said twice, and what is written to a line that
+// is there reaches an engine that is paused, while a new one does not come up. Every second try has a line of its own.
+
 // spareLines are for errands alone, at each engine: while all other lines read, states must still be let go of.
 const spareLines = 2
 
@@ -41,8 +57,12 @@
 	if e != nil {
 		spare = spareLines
 	}
-	twice := s == nil || !s.writes || o.d.Routes[s.inf.route].Effect == "retriable"
-	lease := o.pool.Take(engineID, o.now, o.pool.Trust(engineID, o.now, atMost, twice), spare)
+	if s != nil {
+		atMost = o.pool.Trust(engineID, o.now, atMost, !s.writes || o.d.Routes[s.inf.route].Effect == "retriable")
+	} else if e.tries%2 == 0 {
+		atMost = 0
+	}
+	lease := o.pool.Take(engineID, o.now, atMost, spare)
 	if lease.Evict != 0 {
 		o.closeLine(lease.Evict)
 	}
@@ -190,11 +210,6 @@
 		o.spoil(l)
 		return
 	}
-	// One that would not be used again would only take a descriptor, here and at the engine.
-	if o.pool.Trust(l.Engine, o.now, 1, true) == 0 {
-		o.spoil(l)
-		return
-	}
 	if o.pool.Happen(l.ID, conns.Released, o.now) == conns.CloseIt {
 		o.closeLine(l.ID)
 	}
--- a/settings/facts.go
+++ b/settings/facts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"sandcourse/brain"
@@ -10,17 +11,20 @@
 
 // Facts are what the decision module is handed, by the names that it reads.
 func (d *Deployment) Facts() map[string]any {
+	// The module may keep a state for five eighths of the pin limit. The rest is for telling its reader: one try may hang
+	// for a quarter, and another follows.
+	pin := float64(d.Rules.Pin) * 5 / 8
 	if d.Given != nil {
-		return d.Given
+		f := maps.Clone(d.Given)
+		f["engine_facts.pin"] = pin
+		return f
 	}
 	f := map[string]any{
 		"limits.sends": float64(d.Sends), "limits.cancel": true, "limits.probes": d.Probes, "limits.peers": false,
 		"limits.retry_after": d.RetryAfter > 0, "limits.max_retry_after": float64(d.RetryAfter),
 		"nodes": float64(d.Nodes), "me": float64(d.Me), "zone": float64(number(d.zones(), d.Zone)),
 		"tick": float64(d.Tick), "discovery": "automatic",
-		// The module may keep a state for five eighths of the pin limit. The rest is for telling its reader: one try
-		// may hang for a quarter, and another follows.
-		"engine_facts.pin": float64(d.Rules.Pin) * 5 / 8,
+		"engine_facts.pin": pin,
 		"rules.cold":       float64(d.Rules.Cold), "rules.cold_share": d.Rules.ColdShare,
 		"rules.fall_multiple": d.Rules.FallMultiple, "rules.fall_window": float64(d.Rules.FallWindow),
 		"routes.count": float64(len(d.Routes)),
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,6 +74,9 @@
 	Stay     time.Duration
 	HandOver time.Duration
 	Inbox    int
+	// LateReads is when engines are told again to let go of a lost read, where they forget that they were told: a read
+	// that goes on after its connection ended comes to hold its state later.
+	LateReads []time.Duration
 }
 
 // Engines that one script may list.
