--- a/brain/brain.go
+++ b/brain/brain.go
@@ -520,8 +520,8 @@
 	return b.gate(inf, e)
 }
 
-// hasty is whether a send has just come back from there. Where nothing else is left, the next waits a step: an engine
-// that is gone refuses at once, and would take all sends of an inference within a millisecond.
+// hasty is whether a send has just come back from there. Where nothing else is left, the next waits a step:
+// an engine that is gone refuses at once, and would take all sends of an inference within a millisecond.
 func (b *Brain) hasty(inf *inference, e *engine) bool {
 	return slices.ContainsFunc(inf.sends, func(s send) bool {
 		return s.engine == e.Engine && s.writes == e.writer && b.now-s.at < waitStep
@@ -586,9 +586,9 @@
 
 // ---- engines
 
-// slow is whether a reader needs three times as long for its work as the median of readers: reported tokens that wait
-// and what it had to read itself. In a jam that is no sign of trouble lags are high and this is not, so it tells a slow
-// engine from a busy one. It does harm where reports lie low: then honest ones keep out nobody else.
+// slow is whether a reader needs three times as long for its work as the median of readers; its work is what
+// it reported to wait and what it had to read itself. Lags are high at busy engines too, and this is not. It
+// does harm where an engine reports less work than it has: that one then counts as slow.
 func (b *Brain) slow(e *engine) bool {
 	var all []int64
 	for _, id := range b.ids {
@@ -602,7 +602,7 @@
 // recently is for how long strikes count: a minute, several times the longest that they keep an engine out.
 const recently = int64(time.Minute)
 
-// usable lists the engines that fit and are healthy, by id. Where none is healthy, all that fit are.
+// usable lists the engines that fit and are healthy, by id. Where none is healthy, the best that fit are.
 func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
 	fit, well, lags, strikes := []*engine{}, []*engine{}, []int64{}, []int64{}
 	for _, id := range b.ids {
@@ -613,33 +613,35 @@
 			}
 		}
 	}
-	// The usual is of the others: an engine far over it is the largest. Of two or four, half would else be usual.
+	// The usual is of the others: an engine far over it is the largest. Of two or four, half would else be
+	// usual.
 	usual, often := median(slices.Sorted(slices.Values(lags))[:max(0, len(lags)-1)]), float64(median(strikes))
 	for _, e := range fit {
 		if b.healthy(inf, e, loads[e.Engine], usual, often) {
 			well = append(well, e)
 		}
 	}
-	// Of those in trouble, some have done well since, and any other is better than one that this has come back from:
-	// an engine that is gone has the fewest streams. It harms where all fail alike, as turns are then less even.
-	for _, better := range []func(*engine) bool{func(e *engine) bool { return !e.trial && !inf.backFrom(e) },
-		func(e *engine) bool { return !inf.backFrom(e) }} {
-		if row := slices.DeleteFunc(slices.Clone(fit), func(e *engine) bool { return !better(e) }); len(well) == 0 {
-			well = row
-		}
-	}
 	if len(well) > 0 {
 		return well
 	}
+	// Of those in trouble, some have done well since, and any other is better than one that this has come back
+	// from: an engine that is gone has the fewest streams. It harms where all fail alike, as turns are then less
+	// even.
+	for _, worse := range []func(*engine) bool{
+		func(e *engine) bool { return e.trial || inf.backFrom(e) }, inf.backFrom,
+	} {
+		if row := slices.DeleteFunc(slices.Clone(fit), worse); len(row) > 0 {
+			return row
+		}
+	}
 	return fit
 }
 
 // healthy holds against failing, silent and slow engines alike: each sign of trouble is a strike, which keeps
-// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it, beside the
-// streams that have begun there. A busy
-// fleet's lags look like trouble too, so they are measured against other engines'; so are the strikes of an engine
-// that has done well since: what breaks sends on the way strikes all alike, and to keep out whoever was met last
-// leaves all to one or two. It does harm where most engines fail in part.
+// an engine out for 2 s, twice as long with each more, 16 s at most. Then one send at a time tries it, beside
+// the streams that have begun there. A busy fleet's lags look like trouble too, so they are measured against
+// other engines'; so are strikes: what breaks sends on the way strikes all alike, and to keep out whoever was
+// met last leaves all to one or two. It does harm where most engines fail in part.
 func (b *Brain) healthy(inf *inference, e *engine, l load, usual int64, often float64) bool {
 	// Three times the usual lag and a third of the target: noise seldom makes that, slow and silent engines do.
 	if lag, _ := b.lag(e, l); float64(lag) > b.target(inf)/3 && (lag > 3*usual || b.slow(e)) {
--- a/brain/digest.go
+++ b/brain/digest.go
@@ -8,8 +8,8 @@
 	"slices"
 )
 
-// Digest writes all that a later step may hang on, in an order of its own and with times as they lie from now, so
-// that two brains that will act alike write the same. It is for explorers and decides nothing.
+// Digest writes all that a later step may hang on, in an order of its own and with times as they lie from
+// now, so that two brains that will act alike write the same. It is for explorers and decides nothing.
 func (b *Brain) Digest(w io.Writer) {
 	ago := func(row []int64) (out []int64) {
 		for _, at := range row {
--- a/brain/help.go
+++ b/brain/help.go
@@ -182,7 +182,8 @@
 	return 1
 }
 
-// keepList takes over what a list says. An engine that has started anew is cold, and all that it kept is gone.
+// keepList takes over what a list says. An engine that has started anew is cold, and all that it kept is
+// gone.
 func (b *Brain) keepList(news EngineNews) {
 	seen := map[string]bool{}
 	for _, n := range news.Engines {
@@ -233,7 +234,8 @@
 	b.kept[keptKey{true, session, reader}] = kept{tokens, b.now}
 }
 
-// learnReport keeps an engine's load as it counts all nodes' sends: thousands of tokens to read, else inferences.
+// learnReport keeps an engine's load as it counts all nodes' sends: thousands of tokens to read, else
+// inferences.
 func (b *Brain) learnReport(e *engine, report map[string]float64) {
 	if e == nil || len(report) == 0 {
 		return
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -315,8 +315,8 @@
 	}
 }
 
-// Found on sockets, a day of resets: what breaks on the way was held against one engine after the other, until a
-// single writer was left for all.
+// Found on sockets, a day of resets: what breaks on the way was held against one engine after the other,
+// until a single writer was left for all.
 func TestWhatBreaksOnTheWayKeepsNobodyOut(t *testing.T) {
 	n := newNode(t, nil)
 	e := n.b.engines["w0"]
@@ -358,7 +358,8 @@
 	}
 }
 
-// Found on sockets: a writer that was gone refused four sends within a millisecond, as it had the fewest streams.
+// Found on sockets: a writer that was gone refused four sends within a millisecond, as it had the fewest
+// streams.
 func TestNoTwoSendsAtOnceToWhatRefused(t *testing.T) {
 	n := newNode(t, nil)
 	n.engines(EngineEntry{}, "r0") // the list stays; only what was struck changes
@@ -390,7 +391,8 @@
 	}
 }
 
-// Found on sockets: sessions stuck to a reader that had become slow. A busy one has as high a lag for more work.
+// Found on sockets: sessions stuck to a reader that had become slow. A busy one has as high a lag for more
+// work.
 func TestSlowIsNotBusy(t *testing.T) {
 	n := newNode(t, nil)
 	n.engines(EngineEntry{}, "r2")
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -1,5 +1,5 @@
-// Package catalog is the state of the platform's discovery as one node has heard it: whole lists and changes go in,
-// the present list comes out. It does no I/O.
+// Package catalog is the state of the platform's discovery as one node has heard it: whole lists and changes
+// go in, the present list comes out. It does no I/O.
 package catalog
 
 import (
@@ -40,8 +40,9 @@
 	Started int64       `json:"startedAtMs"`
 }
 
-// Take takes an answer of discovery. News says whether anything may have changed. An entry that makes no sense is
-// left out, as if it were gone, and named in odd: one bad line must not hide the drain of another engine.
+// Take takes an answer of discovery. News says whether anything may have changed. An entry that makes no
+// sense is left out, as if it were gone, and named in odd: one bad line must not hide the drain of another
+// engine.
 func (c *Catalog) Take(answer []byte) (news bool, odd []string, err error) {
 	var a struct {
 		Generation *int64  `json:"generation"`
@@ -98,7 +99,8 @@
 	return list
 }
 
-// Query is what to ask next: what is newer than what is known, within so many milliseconds, or the whole list.
+// Query is what to ask next: what is newer than what is known, within so many milliseconds, or the whole
+// list.
 func (c *Catalog) Query(waitMs int) string {
 	if c.engines == nil {
 		return ""
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -19,7 +19,8 @@
 	return fmt.Appendf(nil, `{"generation":%d,"reset":%v,"instances":[%s]}`, generation, whole, strings.Join(lines, ","))
 }
 
-// However news is told, whole or as changes, late or twice, what is listed is the truth of the last generation heard.
+// However news is told, whole or as changes, late or twice, what is listed is the truth of the last
+// generation heard.
 func TestChangesAndWholeLists(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		truth, known, generation := map[int]string{}, &Catalog{}, 1
--- a/chat/events.go
+++ b/chat/events.go
@@ -48,8 +48,8 @@
 // ErrEventTooLong says that an event is over the decoder's bound.
 var ErrEventTooLong = errors.New("event of the stream is over its bound")
 
-// Decoder cuts a stream of events. Only the data field is kept; other fields are passed over, and comments where
-// nobody wants them.
+// Decoder cuts a stream of events. Only the data field is kept; other fields are passed over, and comments
+// where nobody wants them.
 type Decoder struct {
 	Comment func(text []byte) // is told of comments, if set; the slice is its own to keep
 
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -1,5 +1,5 @@
-// Package conns decides about the connections to engines: when one is dialled, which is used again, and when one
-// is closed. It does no I/O.
+// Package conns decides about the connections to engines: when one is dialled, which is used again, and when
+// one is closed. It does no I/O.
 package conns
 
 import (
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// State is where a connection stands. There is none for a half-closed one: the sockets' library ends a connection
-// whole when the other side closes its half, which is the safe reading, as nothing more can be read from it.
+// State is where a connection stands. There is none for a half-closed one: the sockets' library ends a
+// connection whole when the other side closes its half, which is the safe reading, as nothing more can be
+// read from it.
 type State uint8
 
 const (
@@ -137,7 +138,8 @@
 	if full { // one that lies idle at any engine makes room
 		oldest = nil
 		for _, c := range p.conns {
-			if c.state == Idle && (oldest == nil || cmp.Or(cmp.Compare(c.since, oldest.since), cmp.Compare(c.id, oldest.id)) < 0) {
+			older := oldest == nil || cmp.Or(cmp.Compare(c.since, oldest.since), cmp.Compare(c.id, oldest.id)) < 0
+			if c.state == Idle && older {
 				oldest = c
 			}
 		}
@@ -158,16 +160,18 @@
 	return l
 }
 
-// hastyFor is how long kept connections that end too soon are remembered. Ten seconds: trouble on the way lasts for
-// that long, and a connection for each send costs an engine a millisecond of work.
+// hastyFor is how long kept connections that end too soon are remembered. Ten seconds: trouble on the way
+// lasts for that long, and a connection for each send costs an engine a millisecond of work.
 const hastyFor = int64(10 * time.Second)
 
-// soon is under what idle time the end of a kept connection is no matter of its age: engines keep them for seconds.
+// soon is under what idle time the end of a kept connection is no matter of its age: engines keep them for
+// seconds.
 const soon = int64(time.Second)
 
-// Hasty notes that a kept connection ended too soon: as it was written to, or hardly idle. This guards against whatever
-// closes connections behind an answer, engine or way, as what is written to such a one may have run. It does harm where
-// an engine restarts often, as all of its first sends then pay for a connection of their own.
+// Hasty notes that a kept connection ended too soon: as it was written to, or hardly idle. This guards
+// against whatever closes connections behind an answer, engine or way, as what is written to such a one may
+// have run. It does harm where an engine restarts often, as all of its first sends then pay for a connection
+// of their own.
 func (p *Pool) Hasty(engine string, now int64) { p.hasty[engine], p.hurry = now, now }
 
 // HastyFor is, for each engine still remembered so, for how long; the empty name stands for any.
@@ -184,8 +188,8 @@
 	return row
 }
 
-// Trust is for how long a connection to an engine may have been idle to be used again, atMost where nothing speaks
-// against it. What must not run twice trusts no engine while any has been hasty.
+// Trust is for how long a connection to an engine may have been idle to be used again, atMost where nothing
+// speaks against it. What must not run twice trusts no engine while any has been hasty.
 func (p *Pool) Trust(engine string, now, atMost int64, twice bool) int64 {
 	if at, ok := p.hasty[engine]; ok && now-at < hastyFor || !twice && p.hurry > 0 && now-p.hurry < hastyFor {
 		return 0
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// Random days of one pool: bounds hold, a connection carries one thing at a time and is never used again after
-// anything but a clean end, and nothing is forgotten.
+// Random days of one pool: bounds hold, a connection carries one thing at a time and is never used again
+// after anything but a clean end, and nothing is forgotten.
 func TestPool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := Bounds{PerEngine: rapid.IntRange(1, 4).Draw(t, "per engine"), Dials: rapid.IntRange(1, 3).Draw(t, "dials"),
@@ -95,8 +95,8 @@
 	}
 }
 
-// Kept connections that end behind an answer are not trusted for a while: none of that engine's, and for what must not
-// run twice nobody's. One that ends of age tells nothing.
+// Kept connections that end behind an answer are not trusted for a while: none of that engine's, and for what
+// must not run twice nobody's. One that ends of age tells nothing.
 func TestHastyEnds(t *testing.T) {
 	p := New(Bounds{PerEngine: 9, Dials: 9, IdleNs: int64(15 * time.Second)})
 	idle := func(engine string, now int64) int64 {
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -1,5 +1,5 @@
-// Package dialect is what a node needs of a protocol between itself, its clients and its engines. The core decides
-// when something is said and to whom; a dialect knows the words. It does no I/O.
+// Package dialect is what a node needs of a protocol between itself, its clients and its engines. The core
+// decides when something is said and to whom; a dialect knows the words. It does no I/O.
 package dialect
 
 import (
@@ -57,7 +57,8 @@
 
 	// Refusal answers what a client must change; what was refused was never an inference.
 	Refusal(status int, code, param, why string) Answer
-	// Shed says that a further try is harmless. Name is empty for what was never an inference, again 0 for no advice.
+	// Shed says that a further try is harmless. Name is empty for what was never an inference, again 0 for no
+	// advice.
 	Shed(status int, name, why string, again time.Duration) Answer
 	// Errored promises nothing.
 	Errored(name, why string, late bool) Answer
@@ -65,13 +66,14 @@
 	// Collect returns nil where the client takes the stream itself.
 	Collect(c *Call) Collector
 	Whole(c *Call, name string, from Collector) Answer
-	// Open, Event and Close are the bytes of a streamed answer. Close says whether the connection may be kept; with
-	// what ends a stream that broke it need not be.
+	// Open, Event and Close are the bytes of a streamed answer. Close says whether the connection may be kept;
+	// with what ends a stream that broke it need not be.
 	Open(name string) []byte
 	Event(event []byte) []byte
 	Close(completed bool, why string) (data []byte, keep bool)
 
-	// Read and Write ask engines; send is its number among the inference's sends, left how long the client waits.
+	// Read and Write ask engines; send is its number among the inference's sends, left how long the client
+	// waits.
 	Read(c *Call, name string, to Engine, send int, left time.Duration) ([]byte, error)
 	Write(c *Call, name string, to Engine, from State, left time.Duration) ([]byte, error)
 	Probe(to Engine) []byte
--- a/discover/discover.go
+++ b/discover/discover.go
@@ -1,5 +1,5 @@
-// Package discover follows the platform's discovery for one node: an agent that is asked over HTTP and answers when
-// there is news.
+// Package discover follows the platform's discovery for one node: an agent that is asked over HTTP and
+// answers when there is news.
 package discover
 
 import (
@@ -23,8 +23,8 @@
 	Known []byte        // the list as the node last had it; empty for none
 }
 
-// wait is how long one call may be held. What an agent has to tell while a connection is dead counts as told two
-// seconds after the wait ends, so short ones find out soon.
+// wait is how long one call may be held. What an agent has to tell while a connection is dead counts as told
+// two seconds after the wait ends, so short ones find out soon.
 const wait = 1500 * time.Millisecond
 
 // late is how long after the wait an answer still comes from an agent that works.
--- a/discover/discover_test.go
+++ b/discover/discover_test.go
@@ -23,7 +23,8 @@
 		generation, whole, id, state)
 }
 
-// The list known from before, the whole list, a change, an agent that stays silent, and another one in its place.
+// The list known from before, the whole list, a change, an agent that stays silent, and another one in its
+// place.
 func TestAgent(t *testing.T) {
 	heard := make(chan roster.List, 8)
 	at := make(chan string, 1)
--- a/edge/back.go
+++ b/edge/back.go
@@ -49,10 +49,11 @@
 
 func (l *link) Close() { l.nb.Close() }
 
-// Dial connects a line, within the settings' time. The socket library's own dial takes an IPv4 address for 0.0.0.0,
-// which reaches nothing but 127.0.0.1, and tells a refused connection as one that is there; so the standard library
-// dials, and the connection is handed over.
+// Dial connects a line, within the settings' time. The socket library's own dial takes an IPv4 address for
+// 0.0.0.0, which reaches nothing but 127.0.0.1, and tells a refused connection as one that is there; so the
+// standard library dials, and the connection is handed over.
 func (n *Node) Dial(core *node.Line) {
+	failed := func(err error) { n.in.put(0, func() { n.core.LineDialled(core, nil, err) }) }
 	n.over.Go(func() {
 		dialer := net.Dialer{Timeout: n.d.Lines.DialTime}
 		conn, err := dialer.DialContext(n.alive, "tcp", core.Host)
@@ -63,7 +64,7 @@
 			}
 		}
 		if err != nil {
-			n.in.put(0, func() { n.core.LineDialled(core, nil, err) })
+			failed(err)
 			return
 		}
 		l := &link{n: n, core: core, nb: nb,
@@ -71,7 +72,7 @@
 		nb.SetSession(l)
 		n.connOpened()
 		if _, err = n.back.AddConn(nb); err != nil {
-			n.in.put(0, func() { n.core.LineDialled(core, nil, err) })
+			failed(err)
 			return
 		}
 		n.in.put(0, func() { n.core.LineDialled(core, l, nil) })
--- a/edge/front.go
+++ b/edge/front.go
@@ -113,8 +113,9 @@
 	return a
 }
 
-// room counts clients' connections where they are accepted: a crowd that connects at once must not take the node's
-// descriptors before its owner has seen the first of it. Past the bound they wait in the kernel's queue.
+// room counts clients' connections where they are accepted: a crowd that connects at once must not take the
+// node's descriptors before its owner has seen the first of it. Past the bound they wait in the kernel's
+// queue.
 type room struct {
 	mu     sync.Mutex
 	freed  *sync.Cond
--- a/edge/node.go
+++ b/edge/node.go
@@ -1,5 +1,6 @@
 // Package edge puts a node on sockets: pollers read messages and calls, one goroutine owns the core that node
-// describes, and answers are streamed back. It decides nothing itself; see node, brain, attempt, conns and limits.
+// describes, and answers are streamed back. It decides nothing itself; see node, brain, attempt, conns and
+// limits.
 package edge
 
 import (
@@ -72,7 +73,8 @@
 }
 
 // NewOn makes a node that speaks a dialect.
-func NewOn(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64, speaks dialect.Dialect) *Node {
+func NewOn(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64,
+	speaks dialect.Dialect) *Node {
 	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(d.Inbox),
 		started: time.Now(), done: make(chan struct{}), speaks: speaks, room: newRoom(d.Limits.Conns + 16)}
 	n.epoch = n.started.UnixMilli()
@@ -237,14 +239,13 @@
 // when ctx ends, the rest gets its error. Then the node stops.
 func (n *Node) Drain(ctx context.Context) error {
 	n.log.Info("stopping: no new inference is taken", zap.Duration("linger", n.d.Linger))
-	begun := time.Now()
 	n.in.put(0, func() { n.core.Stopping() })
 	ctx, cancel := context.WithTimeout(ctx, n.d.Finish)
 	defer cancel()
 	var err error
 	for err == nil {
 		var h node.Holding
-		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && !h.Stays && time.Since(begun) >= n.d.Linger {
+		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && !h.Stays {
 			break
 		}
 		select {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -51,7 +51,7 @@
 	for {
 		size, from, err := n.peers.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			if n.hasStopped() {
+			if n.alive.Err() != nil {
 				return
 			}
 			continue
@@ -65,15 +65,6 @@
 	}
 }
 
-func (n *Node) hasStopped() bool {
-	select {
-	case <-n.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // Tell is node.Wire's.
 func (n *Node) Tell(to int, text string) {
 	if n.peers == nil || len(text) > peerText {
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -191,8 +191,8 @@
 	}
 }
 
-// What more than an answer comes on a line belongs to nothing: interim answers are passed over, and a second answer
-// directly behind must not be taken for the next inference's.
+// What more than an answer comes on a line belongs to nothing: interim answers are passed over, and a second
+// answer directly behind must not be taken for the next inference's.
 func TestPlatformMoreThanAnAnswer(t *testing.T) {
 	reader := newBox(t, "127.0.0.2", always("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+heldWire))
 	strange := strings.ReplaceAll(wholeStream, "[1]", "[99]")
@@ -206,8 +206,8 @@
 	}
 }
 
-// A stream that is spoilt or breaks once it has begun ends with its connection and without a last chunk. Before that
-// it may have run: a non-retriable inference gets its error and is not sent again.
+// A stream that is spoilt or breaks once it has begun ends with its connection and without a last chunk.
+// Before that it may have run: a non-retriable inference gets its error and is not sent again.
 func TestPlatformSpoiltStreams(t *testing.T) {
 	begun := streamHead + event(`{"choices":[1]}`)
 	for name, wire := range map[string]string{"a bad size": begun + "zz\r\n", "a chunk of 3 GB": begun + "c0000000\r\nxx",
@@ -233,7 +233,8 @@
 	}
 }
 
-// Connections that die behind their first answer: one inference that must not run twice may meet that, not each.
+// Connections that die behind their first answer: one inference that must not run twice may meet that, not
+// each.
 func TestPlatformHastyConnections(t *testing.T) {
 	reader := newBox(t, "127.0.0.2", always(heldWire))
 	writer := newBox(t, "127.0.0.3", always(wholeStream))
@@ -353,7 +354,8 @@
 	return served, lasted
 }
 
-// A node that is told to stop while no other is heard stays with its clients; one that hears another leaves at once.
+// A node that is told to stop while no other is heard stays with its clients; one that hears another leaves
+// at once.
 func TestPlatformStaysWhileAlone(t *testing.T) {
 	peer, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -7,9 +7,10 @@
 	"sandcourse/node"
 )
 
-// relay passes the tokens of one stream straight from the engine's poller to the client's socket, once the owner
-// has passed on all that came before. A token so never waits behind the module's work for other inferences. The
-// owner keeps both ends: it opens the relay after the first token and shuts it before the final answer.
+// relay passes the tokens of one stream straight from the engine's poller to the client's socket, once the
+// owner has passed on all that came before. A token so never waits behind the module's work for other
+// inferences. The owner keeps both ends: it opens the relay after the first token and shuts it before the
+// final answer.
 type relay struct {
 	frame  func(event []byte) []byte
 	mu     sync.Mutex
--- a/framing/framing.go
+++ b/framing/framing.go
@@ -1,7 +1,9 @@
-// Package framing cuts the bytes of one HTTP/1.1 connection into heads, pieces of body and ends. It does no I/O.
+// Package framing cuts the bytes of one HTTP/1.1 connection into heads, pieces of body and ends. It does no
+// I/O.
 //
-// Heads are read by net/http; what this package adds is the strictness that a router needs between two parties
-// that may see a message differently (RFC 9112, section 11.2): one length or chunked, never both, never two.
+// Heads are read by net/http; what this package adds is the strictness that a router needs between two
+// parties that may see a message differently (RFC 9112, section 11.2): one length or chunked, never both,
+// never two.
 package framing
 
 import (
@@ -222,8 +224,8 @@
 			return nil, 0, fault(502, "answer's head: %v", err)
 		}
 		piece.Answer, length, chunked = ans, ans.ContentLength, len(ans.TransferEncoding) > 0
-		// A client must be able to pass over interim answers that it did not ask for (RFC 9110, section 15.2); after a
-		// change of protocol the rest would be no HTTP.
+		// A client must be able to pass over interim answers that it did not ask for (RFC 9110, section 15.2);
+		// after a change of protocol the rest would be no HTTP.
 		if ans.StatusCode < 200 && ans.StatusCode != http.StatusSwitchingProtocols && c.interim < mostInterim {
 			c.interim++
 			return nil, len(head), nil
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -1,5 +1,6 @@
-// Package limits decides what one node takes from its clients: how many connections, open inferences and bytes,
-// how long a head and a body may take, and what is refused first when a bound is reached. It does no I/O.
+// Package limits decides what one node takes from its clients: how many connections, open inferences and
+// bytes, how long a head and a body may take, and what is refused first when a bound is reached. It does no
+// I/O.
 //
 // Bounds are shared fairly: who holds less than an equal part is refused last.
 package limits
@@ -154,8 +155,8 @@
 	}
 }
 
-// Fattest is the connection with most bytes of an unfinished call while bytes are over their bound; it is closed
-// first, as whoever sends slowly and much holds up all others. Zero for none.
+// Fattest is the connection with most bytes of an unfinished call while bytes are over their bound; it is
+// closed first, as whoever sends slowly and much holds up all others. Zero for none.
 func (g *Gate) Fattest() int64 {
 	if g.bytes <= g.bounds.Bytes {
 		return 0
@@ -173,9 +174,9 @@
 	return most.id
 }
 
-// Admit takes an inference of a party, or says why not. The last quarter of the bound is kept for parties that
-// hold less than their equal part of the first three, so that one that floods, even while it is alone, cannot
-// keep out those that come later.
+// Admit takes an inference of a party, or says why not. The last quarter of the bound is kept for parties
+// that hold less than their equal part of the first three, so that one that floods, even while it is alone,
+// cannot keep out those that come later.
 func (g *Gate) Admit(id int64, party string) Refusal {
 	c, held := g.conns[id], g.parties[party]
 	parts := len(g.parties)
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// Who dribbles a first call in, or says nothing, has one time for all of it; who was served has each call's own.
+// Who dribbles a first call in, or says nothing, has one time for all of it; who was served has each call's
+// own.
 func TestFirstCallHasOneTime(t *testing.T) {
 	b := bounds(9, 9, 100)
 	b.FirstTime = 12
--- a/node/clients.go
+++ b/node/clients.go
@@ -194,7 +194,8 @@
 	}
 }
 
-// closeParting closes what has written all, or has been given up: half a second for the client to hang up first.
+// closeParting closes what has written all, or has been given up: half a second for the client to hang up
+// first.
 func (o *Core) closeParting() {
 	for id, at := range o.partings {
 		c := o.clients[id]
@@ -217,8 +218,8 @@
 	o.part(c)
 }
 
-// names are those that clients gave to inferences. Engines know inferences by them, so that a second of the same
-// name would be taken for a copy of the first. The last few thousand are kept, in two halves.
+// names are those that clients gave to inferences. Engines know inferences by them, so that a second of the
+// same name would be taken for a copy of the first. The last few thousand are kept, in two halves.
 type names struct{ young, old map[string]bool }
 
 // namesHalf: a minute's worth at a hundred a second, some hundred kilobytes.
--- a/node/core.go
+++ b/node/core.go
@@ -18,7 +18,8 @@
 	"sandcourse/settings"
 )
 
-// Core is the state of one node: the module, its timers and all that is open. It is not safe for concurrent use.
+// Core is the state of one node: the module, its timers and all that is open. It is not safe for concurrent
+// use.
 type Core struct {
 	d     *settings.Deployment
 	seed  uint64
@@ -137,7 +138,8 @@
 }
 
 // New makes the core of a node that starts at now. Epoch must differ between lives of a node.
-func New(d *settings.Deployment, speaks dialect.Dialect, seed uint64, epoch, now int64, wire Wire, watch Watch) *Core {
+func New(d *settings.Deployment, speaks dialect.Dialect, seed uint64, epoch, now int64, wire Wire,
+	watch Watch) *Core {
 	o := &Core{d: d, speaks: speaks, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle)}),
@@ -397,7 +399,7 @@
 	}
 	var request []byte
 	var err error
-	to, left := dialect.Engine{Host: o.host(e.Engine), Epoch: o.entry(e.Engine).Epoch}, time.Duration(inf.giveUpAt-o.now)
+	to, left := o.reach(e.Engine), time.Duration(inf.giveUpAt-o.now)
 	if s.writes {
 		request, err = o.speaks.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
 	} else {
@@ -436,8 +438,11 @@
 	return roster.Entry{}
 }
 
-// host is where an engine is reached from this node: its id, unless the list says another place.
-func (o *Core) host(engineID string) string { return cmp.Or(o.entry(engineID).Host, engineID) }
+// reach is how an engine is reached from this node: by its id, unless the list says another place.
+func (o *Core) reach(engineID string) dialect.Engine {
+	e := o.entry(engineID)
+	return dialect.Engine{Host: cmp.Or(e.Host, engineID), Epoch: e.Epoch}
+}
 
 // happen is where all socket events of a send end up: its machine judges them, and the outcome, if there is
 // one, goes to the module.
@@ -446,8 +451,8 @@
 		return
 	}
 	inf := s.inf
-	// The kernel may have taken the rest of a request since the last event; a send that is withdrawn or breaks then
-	// may have run, though its machine still thinks that a part of it is here.
+	// The kernel may have taken the rest of a request since the last event; a send that is withdrawn or breaks
+	// then may have run, though its machine still thinks that a part of it is here.
 	if l := s.line; l != nil && l.send == s && l.socket != nil && s.machine.State == attempt.Writing && l.socket.Written() {
 		o.took |= 1 << s.machine.Happen(attempt.Written).Row
 	}
--- a/node/digest.go
+++ b/node/digest.go
@@ -10,8 +10,8 @@
 	"sandcourse/attempt"
 )
 
-// Digest writes all that later events may hang on: the module's state, what is open, lines by what they carry and
-// not by their numbers, timers by what they stand for. It is for explorers and decides nothing.
+// Digest writes all that later events may hang on: the module's state, what is open, lines by what they carry
+// and not by their numbers, timers by what they stand for. It is for explorers and decides nothing.
 func (o *Core) Digest(w io.Writer) {
 	o.brain.Digest(w)
 	for _, id := range o.ids() {
--- a/node/lines.go
+++ b/node/lines.go
@@ -8,7 +8,6 @@
 	"sandcourse/attempt"
 	"sandcourse/brain"
 	"sandcourse/conns"
-	"sandcourse/dialect"
 )
 
 // errand is what is asked of an engine beside sends: a probe, or to let go of a state.
@@ -22,7 +21,8 @@
 	head   *http.Response
 }
 
-// uses is whether an inference of a name has a send out at an engine, or a state there that a writer may still fetch.
+// uses is whether an inference of a name has a send out at an engine, or a state there that a writer may
+// still fetch.
 func (o *Core) uses(name, engineID string) bool {
 	for _, inf := range o.infs {
 		if inf.name == name && inf.final == "" {
@@ -33,22 +33,20 @@
 	return false
 }
 
-// An errand's time and tries. Letting go must be done within the pin limit, so the first three tries are out within
-// 150 ms if connections are refused; the later ones come at doubled distances, for a reader that is away for a
-// second or two. One that has heard none of six drops the state by its own time-out.
+// An errand's time and tries. Letting go must be done within the pin limit, so the first three tries are out
+// within 150 ms if connections are refused; the later ones come at doubled distances, for a reader that is
+// away for a second or two. One that has heard none of six drops the state by its own time-out.
 const errandTries = 6
 
-// errandTime is how long one try may take: a quarter of the pin limit, so that a try that hangs leaves time for
-// another two within it, and never more than a quarter second.
+// errandTime is how long one try may take: a quarter of the pin limit, so that a try that hangs leaves time
+// for another two within it, and never more than a quarter second.
 func (o *Core) errandTime() int64 { return min(int64(250*time.Millisecond), int64(o.d.Rules.Pin)/4) }
 
 // errandRest is how long the second try waits; each later one twice as long.
 func (o *Core) errandRest() int64 { return min(int64(50*time.Millisecond), int64(o.d.Rules.Pin)/16) }
 
-// Errands trust kept lines whatever became of others: letting go may be said twice, and what is written to a line that
-// is there reaches an engine that is paused, while a new one does not come up. Every second try has a line of its own.
-
-// spareLines are for errands alone, at each engine: while all other lines read, states must still be let go of.
+// spareLines are for errands alone, at each engine: while all other lines read, states must still be let go
+// of.
 const spareLines = 2
 
 // carry finds a line for a send or an errand and writes to it, now or once it is connected.
@@ -57,6 +55,9 @@
 	if e != nil {
 		spare = spareLines
 	}
+	// Errands trust kept lines whatever became of others: letting go may be said twice, and what is written to a
+	// line that is there reaches an engine that is paused, while a new one does not come up. Every second try is
+	// on a new one.
 	if s != nil {
 		atMost = o.pool.Trust(engineID, o.now, atMost, !s.writes || o.d.Routes[s.inf.route].Effect == "retriable")
 	} else if e.tries%2 == 0 {
@@ -71,7 +72,7 @@
 	}
 	l := o.lines[lease.ID]
 	if !lease.Reused {
-		l = &Line{ID: lease.ID, Engine: engineID, Host: o.host(engineID), dialAt: o.now}
+		l = &Line{ID: lease.ID, Engine: engineID, Host: o.reach(engineID).Host, dialAt: o.now}
 		o.lines[l.ID] = l
 	}
 	l.send, l.errand, l.request, l.again = s, e, request, lease.Reused
@@ -109,8 +110,8 @@
 	o.writeLine(l)
 }
 
-// writeLine is where the first byte of a send goes out, so the drain gate stands here: news may have come while
-// the line was dialled.
+// writeLine is where the first byte of a send goes out, so the drain gate stands here: news may have come
+// while the line was dialled.
 func (o *Core) writeLine(l *Line) {
 	if s := l.send; s != nil {
 		if !attempt.MayWrite(o.now, o.told[l.Engine], int64(o.d.Rules.DrainGrace)) {
@@ -251,7 +252,8 @@
 	o.dropLoad(l, attempt.Reset)
 }
 
-// atOnce is how soon a line ends that the other side had given up before it was written to: a way there and back.
+// atOnce is how soon a line ends that the other side had given up before it was written to: a way there and
+// back.
 const atOnce = int64(20 * time.Millisecond)
 
 // dropLoad tells what a line carried that it is gone.
@@ -273,7 +275,7 @@
 func (o *Core) run(e *errand) {
 	e.at, e.head = o.now, nil
 	e.tries++
-	to := dialect.Engine{Host: o.host(e.engine)}
+	to := o.reach(e.engine)
 	request := o.speaks.Probe(to)
 	if e.name != "" {
 		request = o.speaks.Release(to, e.name, e.send)
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,6 @@
-// Package node is one node without its sockets: it hands what happens to the decision module, to attempt, conns
-// and limits, and turns what they decide into bytes for clients and engines. It does no I/O: sockets, clock and
-// logs are behind interfaces, and the edge and the explorer drive the same code.
+// Package node is one node without its sockets: it hands what happens to the decision module, to attempt,
+// conns and limits, and turns what they decide into bytes for clients and engines. It does no I/O: sockets,
+// clock and logs are behind interfaces, and the edge and the explorer drive the same code.
 package node
 
 import (
@@ -73,7 +73,7 @@
 	current *open
 	gone    bool
 	parting bool // to be closed once all is written
-	cut     bool // and at once, as its answer broke
+	cut     bool // and at once: its answer broke, or its client shall go elsewhere
 	out     []byte
 	dirty   bool
 	held    int
@@ -133,8 +133,8 @@
 	return due
 }
 
-// Stopping makes the node take nothing new. Where the settings let it linger, calls that are on their way are still
-// taken for that long, and then it leaves: see leave.
+// Stopping makes the node take nothing new. Where the settings let it linger, calls that are on their way are
+// still taken for that long, and then it leaves: see leave.
 func (o *Core) Stopping() {
 	if !o.stopping {
 		o.stopping, o.stopAt = true, o.now
@@ -145,20 +145,23 @@
 // Abandon gives everything that is open its error.
 func (o *Core) Abandon(why string) {
 	for _, id := range o.ids() {
-		inf := o.infs[id]
-		o.finish(inf, errored, why)
-		o.clientLeft(inf)
+		o.abandon(o.infs[id], why)
 	}
 }
 
+func (o *Core) abandon(inf *open, why string) {
+	o.finish(inf, errored, why)
+	o.clientLeft(inf)
+}
+
 // Holding is what a node holds now.
 type Holding struct {
 	Clients, Inferences, Bytes, Lines, Errands int
-	Stays                                      bool // it is told to stop, and has not left its clients yet
+	Stays                                      bool // it is told to stop, and takes calls still
 }
 
 // Holding counts.
 func (o *Core) Holding() Holding {
 	clients, _, bytes := o.gate.Holding()
-	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands), o.stopping && !o.gone}
+	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands), o.stopping && o.taking()}
 }
--- a/prove/mutations_test.go
+++ b/prove/mutations_test.go
@@ -77,8 +77,8 @@
 		"asIs := !r.Changing", "roles", "R1 R2 R7"},
 }
 
-// Each defect must be caught by a property that is named for it. The build of some thirty binaries takes a minute or two,
-// so CI takes three of them and SANDCOURSE_MUTATIONS=all the rest.
+// Each defect must be caught by a property that is named for it. The build of some thirty binaries takes a
+// minute or two, so CI takes three of them and SANDCOURSE_MUTATIONS=all the rest.
 func TestMutationsAreCaught(t *testing.T) {
 	root, err := filepath.Abs("..")
 	if err != nil {
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -1,6 +1,7 @@
-// Package prove explores the state of a node for a way to break a property. A world is the real code of node, brain,
-// attempt, conns and limits, and a small adversary that plays engines, wire, roster, clients and clock. Every event
-// that the adversary may bring is tried from every state; states that are alike are opened once. It does no I/O.
+// Package prove explores the state of a node for a way to break a property. A world is the real code of node,
+// brain, attempt, conns and limits, and a small adversary that plays engines, wire, roster, clients and
+// clock. Every event that the adversary may bring is tried from every state; states that are alike are opened
+// once. It does no I/O.
 package prove
 
 import (
@@ -45,8 +46,8 @@
 	Crowd   bool     `json:"crowd"`  // not explored: one long seeded walk, see Crowd
 }
 
-// The times of all worlds are short, so that few timers lie between an inference and its end. Their order is that
-// of the defaults: tick under wait step under grace under pin under time-out.
+// The times of all worlds are short, so that few timers lie between an inference and its end. Their order is
+// that of the defaults: tick under wait step under grace under pin under time-out.
 const (
 	giveUp = 300 * time.Millisecond
 	target = 100 * time.Millisecond
@@ -54,8 +55,8 @@
 	grace  = 50 * time.Millisecond
 	pin    = 200 * time.Millisecond
 	stall  = 100 * time.Millisecond
-	// lateBy is how late a loaded machine may run a timer: more than a tick, less than the margin before a client
-	// gives up, which is three ticks.
+	// lateBy is how late a loaded machine may run a timer: more than a tick, less than the margin before a
+	// client gives up, which is three ticks.
 	lateBy = 12 * time.Millisecond
 )
 
@@ -204,8 +205,8 @@
 	s.core = node.New(s.d, speaks, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
 }
 
-// kill ends the node outright and starts it anew with its last list. What it held is its clients' loss and its
-// engines' to drop; nothing more may be sent for it.
+// kill ends the node outright and starts it anew with its last list. What it held is its clients' loss and
+// its engines' to drop; nothing more may be sent for it.
 func (s *sim) kill() {
 	s.took.Add(s.cover())
 	for _, l := range s.lines {
@@ -307,8 +308,8 @@
 	}
 }
 
-// dropped is what becomes of a request whose connection the node closes: a read may still end and its state wait
-// there, a writer may have run.
+// dropped is what becomes of a request whose connection the node closes: a read may still end and its state
+// wait there, a writer may have run.
 func (s *sim) dropped(r *request) {
 	if r.line.part { // an engine does not begin on a part
 		s.freed(r.inference)
@@ -509,8 +510,8 @@
 	s.do(func() { s.core.TakeList(s.list) })
 }
 
-// own lists what may happen at this node and on its connections. Pending is whether some of it happens by itself
-// before time passes.
+// own lists what may happen at this node and on its connections. Pending is whether some of it happens by
+// itself before time passes.
 func (s *sim) own() (row []Event, pending bool) {
 	add := func(name, fault string, do func()) {
 		if fault == "" || s.may(fault) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,5 +1,5 @@
-// Package roster tells a node which engines there are. Today the list comes from a watched file; whatever comes
-// later hands over the same news.
+// Package roster tells a node which engines there are. Today the list comes from a watched file; whatever
+// comes later hands over the same news.
 package roster
 
 import (
--- a/settings/facts.go
+++ b/settings/facts.go
@@ -11,8 +11,8 @@
 
 // Facts are what the decision module is handed, by the names that it reads.
 func (d *Deployment) Facts() map[string]any {
-	// The module may keep a state for five eighths of the pin limit. The rest is for telling its reader: one try may hang
-	// for a quarter, and another follows.
+	// The module may keep a state for five eighths of the pin limit. The rest is for telling its reader: one try
+	// may hang for a quarter, and another follows.
 	pin := float64(d.Rules.Pin) * 5 / 8
 	if d.Given != nil {
 		f := maps.Clone(d.Given)
@@ -66,8 +66,8 @@
 	return news, unknown
 }
 
-// zones starts with those that have given numbers, or with the node's own, which so keeps its number whatever a list
-// says.
+// zones starts with those that have given numbers, or with the node's own, which so keeps its number whatever
+// a list says.
 func (d *Deployment) zones() []string {
 	if len(d.Zones) > 0 {
 		return slices.Clone(d.Zones)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,6 +12,9 @@
 	"sandcourse/script"
 )
 
+// Effects are what a further run of an inference may do, by the words of a route.
+var Effects = []string{"retriable", "deduped", "non-retriable"}
+
 // Route is one model route.
 type Route struct {
 	Name                 string
@@ -65,17 +68,18 @@
 	RetryAfter    time.Duration
 	Finish        time.Duration // how long open inferences may go on once the node is told to stop
 	Probes        bool
-	// What only a platform's configuration says: the module's facts as they are given, the names of zones by their
-	// numbers, how long a node that is told to stop takes what still comes, how long it stays with its clients where no
-	// other node is heard, when it hands over what came later than it had to take, and bytes that may wait for its owner.
+	// What only a platform's configuration says: the module's facts as they are given, the names of zones by
+	// their numbers, how long a node that is told to stop takes what still comes, how long it stays with its
+	// clients where no other node is heard, when it hands over what came later than it had to take, and bytes
+	// that may wait for its owner.
 	Given    map[string]any
 	Zones    []string
 	Linger   time.Duration
 	Stay     time.Duration
 	HandOver time.Duration
 	Inbox    int
-	// LateReads is when engines are told again to let go of a lost read, where they forget that they were told: a read
-	// that goes on after its connection ended comes to hold its state later.
+	// LateReads is when engines are told again to let go of a lost read, where they forget that they were told:
+	// a read that goes on after its connection ended comes to hold its state later.
 	LateReads []time.Duration
 }
 
@@ -155,7 +159,7 @@
 			t := Route{Value: 1, FirstToken: time.Second, Timeout: 5 * time.Second, DedupGroup: "all",
 				DedupWindow: 5 * time.Second}
 			return []script.Key{{Name: "name", To: &t.Name, Need: true},
-					{Name: "effect", To: &t.Effect, Words: []string{"retriable", "deduped", "non-retriable"}, Need: true},
+					{Name: "effect", To: &t.Effect, Words: Effects, Need: true},
 					{Name: "value", To: &t.Value, Min: 0.001, Max: 1e6},
 					{Name: "first_token_target", To: &t.FirstToken, Min: 0.01, Max: 600},
 					{Name: "target_per_1000_tokens", To: &t.PerTokns, Max: 60},
