A silent writer is probed and left, and failed dials give a held state no more time

Two causes, told apart by logging every release of a state: the node logs no release that was refused or slow, but (1) inferences with three or four sends 'not connected' of 250 ms each, as takeOutcome moved freeAt at each of them, and (2) inferences whose one writer is still out when the client gives up after 2.2 s: what is written to a kept connection of a machine that is cut off never reaches it. Ruled out: releases that hang (all 204 at the first try within 3 ms), late reads.

Change: NotConnected, NotSent and what was withdrawn as silent no longer move freeAt, and no writer is picked past the pin limit. A send out for a third of the pin limit (a read: half its target) with no sign of its engine is probed; if the probe is not answered either, the send is withdrawn where it may go again, else its state is let go of. An engine that answers a probe with 503 is there: the core now says Full for it, not TimedOut.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,8 +30,10 @@
 	{is(writing), in(stateGone), taken, (*Brain).chooseReader},
 	{is(reading, writing), in(firstToken), streaming, nil}, // a mixed engine answers what it reads
 	{is(reading), in(tooLate), reading, (*Brain).dropLate},
-	{is(reading), in(overtaken), reading, (*Brain).withdraw},
-	{is(writing), in(overtaken), writing, (*Brain).withdraw},
+	{is(reading), in(unheard), reading, (*Brain).askSilent},
+	{is(writing), in(unheard), writing, (*Brain).askSilent},
+	{is(reading), in(overtaken, silent), reading, (*Brain).withdraw},
+	{is(writing), in(overtaken, silent), writing, (*Brain).withdraw},
 	{open, in(timeUp, spent, hopeless), ended, (*Brain).giveUp},
 	{all, in(clientGone, over), ended, (*Brain).letGo},
 	// What comes after the end still lets go of what is held.
@@ -74,7 +76,11 @@
 		return
 	}
 	s := &inf.sends[o.Send]
-	s.out, inf.freeAt, b.counted = false, b.now, nil
+	s.out, b.counted = false, nil
+	// What never reached a writer has not begun to fetch: the reader has held the state all the while.
+	if !s.writes || !s.withdrawn && o.Verdict != NotConnected && o.Verdict != NotSent {
+		inf.freeAt = b.now
+	}
 	b.learnReport(b.engines[o.Engine], o.Report)
 	s.kept = o.Verdict == ReadDone
 	s.neverRan = !s.writes || o.Verdict == Full || o.Verdict == NotConnected || o.Verdict == NotSent
@@ -115,6 +121,7 @@
 		inf.sends[len(inf.sends)-1].waits = 1 + e.waits
 	}
 	b.effects = append(b.effects, Send{Inf: inf.Inf, Engine: e.Engine})
+	b.arm(inf, unheard, b.quietFor(inf))
 	return nothing
 }
 
@@ -466,10 +473,7 @@
 	for _, e := range engines {
 		unknown := b.now-e.heardAt >= freshFor && !b.fresh(e)
 		if b.flag("limits.probes") && unknown && !slices.Contains(inf.asked, e.Engine) {
-			if e.askedAt <= e.heardAt {
-				e.askedAt = b.now
-				b.effects = append(b.effects, Probe{e.Engine})
-			}
+			b.probe(e)
 			inf.asked = append(inf.asked, e.Engine)
 		}
 	}
@@ -497,6 +501,17 @@
 		b.drive(inf, told)
 		b.forget(inf)
 	}
+	// Busy engines say so; one that says nothing has not taken what was written to it before either.
+	if p.Verdict != TimedOut && p.Verdict != NotConnected && p.Verdict != ConnectionLost {
+		return
+	}
+	for _, inf := range b.those(func(inf *inference) bool {
+		n := len(inf.sends) - 1
+		return n >= 0 && inf.sends[n].engine == p.Engine && inf.sends[n].at < e.askedAt && b.unseen(inf)
+	}) {
+		b.strike(e)
+		b.drive(inf, silent)
+	}
 }
 
 // ---- writers
@@ -506,14 +521,11 @@
 	if !slices.ContainsFunc(b.ids, func(id string) bool { return b.mayRepeat(inf, b.engines[id]) }) {
 		return spent
 	}
-	e := b.pickWriter(inf)
-	if e == nil {
-		if b.now-inf.freeAt > int64(b.num("engine_facts.pin", 0))-2*b.margin()-waitStep {
-			return spent
-		}
-		return noWriter
+	if b.now-inf.freeAt > int64(b.num("engine_facts.pin", 0))-2*b.margin()-waitStep {
+		return spent
 	}
-	if b.hasty(inf, e) {
+	e := b.pickWriter(inf)
+	if e == nil || b.hasty(inf, e) {
 		return noWriter
 	}
 	inf.writer = e.Engine
@@ -734,17 +746,58 @@
 	}
 }
 
-// withdraw gives up the wait for the send that is out, where another may follow it.
+// withdraw gives up the wait for the send that is out, where another may follow it. Else its state is let go
+// of all the same: most likely it was not fetched, and if it is queued after all, its writer will say so.
 func (b *Brain) withdraw(inf *inference) input {
 	s := &inf.sends[len(inf.sends)-1]
 	again := !s.writes || b.word(b.route(inf, "effect")) == "retriable"
-	if again && !s.withdrawn && len(inf.sends) < int(b.num("limits.sends", 1)) && b.flag("limits.cancel") {
+	switch {
+	case s.withdrawn:
+	case again && len(inf.sends) < int(b.num("limits.sends", 1)) && b.flag("limits.cancel"):
 		s.withdrawn = true
 		b.effects = append(b.effects, Withdraw{inf.Inf, len(inf.sends) - 1})
+	case s.writes:
+		b.effects = append(b.effects, Discard{inf.Inf})
 	}
 	return nothing
 }
 
+// quietFor is how long the last send may go without a sign of its engine. Nothing tells a machine that is cut
+// off from a busy one, and what is written to a kept connection is lost without a word. A writer is asked
+// after a third of the pin limit, so that the wait for its answer and another try fit in before it; a reader
+// after half the target, as another read would be too late later.
+func (b *Brain) quietFor(inf *inference) int64 {
+	if inf.sends[len(inf.sends)-1].writes {
+		return int64(b.num("engine_facts.pin", 1e9)) / 3
+	}
+	return int64(b.target(inf) / 2)
+}
+
+// unseen is whether the last send is out and nothing came from its engine since it was sent.
+func (b *Brain) unseen(inf *inference) bool {
+	s := &inf.sends[len(inf.sends)-1]
+	e := b.engines[s.engine]
+	return s.out && !s.began && e != nil && max(e.goodAt, e.reportAt) < s.at
+}
+
+// askSilent probes an engine that has been quiet for too long; a cold one would count that as work.
+func (b *Brain) askSilent(inf *inference) input {
+	s := &inf.sends[len(inf.sends)-1]
+	e := b.engines[s.engine]
+	if b.unseen(inf) && b.now-s.at >= b.quietFor(inf) && b.flag("limits.probes") && !b.cold(e) {
+		b.probe(e)
+	}
+	return nothing
+}
+
+// probe asks an engine for its load, unless an answer is under way.
+func (b *Brain) probe(e *engine) {
+	if e.askedAt <= e.heardAt {
+		e.askedAt = b.now
+		b.effects = append(b.effects, Probe{e.Engine})
+	}
+}
+
 func (b *Brain) cold(e *engine) bool {
 	return e.coldFrom != 0 && b.now-e.coldFrom <= int64(b.num("rules.cold", 0))
 }
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -413,3 +413,59 @@
 		}
 	}
 }
+
+// Found on split+term+brink: writers fell silent, each failed dial of a quarter second counted as news of the
+// state, and its reader held it for up to a second and a half.
+func TestFailedDialsGiveAStateNoMoreTime(t *testing.T) {
+	n := newNode(t, nil)
+	first := n.read(20, 1, n.arrive(1, 0, "s"))
+	second := n.step(240, Outcome{Inf: 1, Send: 1, Engine: first, Verdict: NotConnected})
+	if second == "" || second == first {
+		t.Fatalf("after %s it went to %q", first, second)
+	}
+	n.step(240, Outcome{Inf: 1, Send: 2, Engine: second, Verdict: NotConnected})
+	n.want(Shed{1, 0}, Discard{1})
+}
+
+// waiting is a node whose writer has had an inference of a route for so long that it is asked whether it is there.
+func waiting(t *testing.T, route int) (n *node, writer string) {
+	n = newNode(t, map[string]any{"limits.probes": true, "nodes": 1.0})
+	n.arrive(1, route, "s")
+	reader := ""
+	for _, e := range n.got {
+		if p, ok := e.(Probe); ok {
+			if to := n.step(1, ProbeResult{Engine: p.Engine, Verdict: Completed}); to != "" {
+				reader = to
+			}
+		}
+	}
+	writer = n.read(20, 1, reader)
+	for _, e := range n.got {
+		if a, ok := e.(ArmTimer); ok {
+			n.step(a.In/ms+1, TimerDue{a.Token})
+			n.want(Probe{writer})
+		}
+	}
+	return n, writer
+}
+
+// Found on split+term+brink: what is written to a kept connection of a machine that is cut off is never answered,
+// and its state was held until the client gave up.
+func TestSilentWriterIsLeft(t *testing.T) {
+	n, writer := waiting(t, 0)
+	n.step(0, ProbeResult{Engine: writer, Verdict: TimedOut})
+	n.want(Withdraw{1, 1})
+	if to := n.step(0, Outcome{Inf: 1, Send: 1, Engine: writer, Verdict: Withdrawn}); to == "" || to == writer {
+		t.Fatalf("after %s it went to %q", writer, to)
+	}
+	// A non-retriable may have run, so it waits on; only its state goes.
+	n, writer = waiting(t, 1)
+	n.step(0, ProbeResult{Engine: writer, Verdict: TimedOut})
+	n.want(Discard{1})
+	// One that answers is there, be it with nothing but that it is busy.
+	for _, v := range []Verdict{Completed, Full} {
+		n, writer = waiting(t, 0)
+		n.step(0, ProbeResult{Engine: writer, Verdict: v})
+		n.want()
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -172,6 +172,8 @@
 	spent            // no further send is allowed
 	admitted         // it can be in time
 	hopeless         // it cannot be in time
+	unheard          // its send has been out for a while
+	silent           // its engine does not answer a probe either
 	overtaken        // its engine has answered what was sent later
 	tooLate          // its target has passed before it was read
 )
--- a/node/lines.go
+++ b/node/lines.go
@@ -296,6 +296,8 @@
 	case e.name == "" && ok:
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
 			Report: o.speaks.Load(head, body)})
+	case e.name == "" && head != nil: // it is there, and has no answer now
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Full, Lag: o.now - e.at})
 	case e.name == "":
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
 	case ok:
