A mixed engine's stream answers the inference it was asked to read

Cause: node.reads took a send to such an engine for a read, so Sort judged its 200 and stream as a garbled answer of a reader. On the platform an engine of both roles that finds no state reads the prompt and answers; the chat dialect tells its engines which is wanted. Ruled out: errors of the engines' own (error_rate 0).

Change: the dialect says whether mixed engines answer.

--- a/chatline/chatline.go
+++ b/chatline/chatline.go
@@ -170,6 +170,9 @@
 
 func (*Dialect) Comment([]byte) map[string]float64 { return nil }
 
+// MixedAnswers: an engine is told in the call whether it is to read or to answer.
+func (*Dialect) MixedAnswers() bool { return false }
+
 func (*Dialect) Last(event []byte) bool { return string(event) == chat.Done }
 
 func (*Dialect) Cut(bool) (attempt.Input, string) {
--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -72,6 +72,9 @@
 	Event(event []byte) []byte
 	Close(completed bool, why string) (data []byte, keep bool)
 
+	// MixedAnswers is whether an engine of both roles that gets an inference without a state reads it and answers
+	// at once. Else it is asked to read first, like a reader.
+	MixedAnswers() bool
 	// Read and Write ask engines; send is its number among the inference's sends, left how long the client
 	// waits.
 	Read(c *Call, name string, to Engine, send int, left time.Duration) ([]byte, error)
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -436,3 +436,20 @@
 		}
 	}
 }
+
+// Found on the other customer's calm day: a mixed engine reads and answers in one, and its stream was taken for a
+// spoilt answer of a reader.
+func TestPlatformMixedEngineAnswers(t *testing.T) {
+	mixed := newBox(t, "127.0.0.2", always(wholeStream))
+	n := onPlatform(t, 1024, func(d *settings.Deployment) {
+		for i := range d.Kinds {
+			d.Kinds[i].Role = "both"
+			d.Given[fmt.Sprintf("engine_facts.role_of_kind.%d", i)] = "both"
+		}
+	}, mixed, mixed)
+	defer n.Stop()
+	status, body, err := call(t, n, "a1", "chat")
+	if status != 200 || err != nil || body != allEvents || mixed.saw("POST /v1/chat/completions a1") != 1 {
+		t.Fatalf("%d %q %v after %q", status, body, err, mixed.seen)
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -415,7 +415,8 @@
 	}
 }
 
-// reads is whether a send to an engine asks for a read: by its kind, or by whether a state is at hand.
+// reads is whether a send to an engine asks for a read: by its kind, or, where an engine of both roles does not
+// answer what it is asked to read, by whether a state is at hand.
 func (o *Core) reads(engineID string, inf *open) bool {
 	switch o.d.Role(o.entry(engineID).Kind) {
 	case "read":
@@ -423,7 +424,7 @@
 	case "write":
 		return false
 	}
-	return inf.transfer == nil
+	return inf.transfer == nil && !o.speaks.MixedAnswers()
 }
 
 // entry is what the list says of an engine; nothing of one that is not in it.
