Bad entries of a list are set aside singly, whatever is wrong with them

Read in catalog.Take: entries were decoded as one slice, so a field of a wrong kind (a weight that is text, an entry that is a number) failed the whole answer, and the drain of another engine in it was not heard until the next whole list, which would fail again. Each entry is decoded alone now.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -45,9 +45,9 @@
 // engine.
 func (c *Catalog) Take(answer []byte) (news bool, odd []string, err error) {
 	var a struct {
-		Generation *int64  `json:"generation"`
-		Whole      bool    `json:"reset"`
-		Entries    []entry `json:"instances"`
+		Generation *int64            `json:"generation"`
+		Whole      bool              `json:"reset"`
+		Entries    []json.RawMessage `json:"instances"`
 	}
 	if len(answer) > MaxAnswer {
 		return false, nil, fmt.Errorf("list has %d bytes, at most %d are read", len(answer), MaxAnswer)
@@ -68,7 +68,12 @@
 		c.engines = map[string]roster.Entry{}
 	}
 	c.generation = *a.Generation
-	for _, e := range a.Entries {
+	for _, line := range a.Entries {
+		var e entry
+		if json.Unmarshal(line, &e) != nil {
+			// A field of a wrong kind leaves the others as they are read, so its name may still be known.
+			e.State = ""
+		}
 		at, err := netip.ParseAddrPort(e.Host)
 		known := e.State == serving || e.State == draining || e.State == deleted
 		if e.ID == "" || !known || e.State != deleted && (err != nil || at.Port() == 0 || e.Started < 0) {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -100,3 +100,22 @@
 		}
 	})
 }
+
+// One entry that is not as it should be must not hide the drain of another, whatever is wrong with it.
+func TestBadEntriesAreSetAsideSingly(t *testing.T) {
+	for _, bad := range []string{`7`, `null`, `"s-1"`, `[]`, `{}`, `{"instanceId":"s-1","weight":"heavy"}`,
+		`{"instanceId":"s-1","hostPort":"127.0.1.1:3000","lifecycle":"SERVING","startedAtMs":"now"}`,
+		`{"instanceId":"s-1","hostPort":7,"lifecycle":"SERVING"}`} {
+		c := &Catalog{}
+		if _, _, err := c.Take(answer(1, true, line(1, serving, 0), line(2, serving, 0))); err != nil {
+			t.Fatal(err)
+		}
+		if _, odd, err := c.Take(answer(2, false, bad, line(2, draining, 0))); err != nil || len(odd) != 1 {
+			t.Errorf("%s: set aside %q, %v", bad, odd, err)
+		}
+		list := c.List().Engines
+		if i := len(list) - 1; i < 0 || list[i].Engine != "s-2" || list[i].State != roster.Draining {
+			t.Errorf("%s: the drain beside it is not heard: %v", bad, list)
+		}
+	}
+}
