Departed engines and pairs are forgotten; engines are told the time left when written to

The request is now made as it is written, which also keeps no copy of the body while a line is dialled. - Tests on the core with the test's own sockets: a client that left is sent on nowhere in three states.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -409,9 +409,16 @@
 	if inf.Prefix != "" {
 		b.kept[prefix] = kept{inf.PrefixTokens, b.now}
 	}
-	// 20,000 entries: a few megabytes; then what is older than a minute goes.
+	b.bound()
+}
+
+// bound keeps what is remembered to 20,000 entries of a kind, a few megabytes; then what is older than a minute
+// goes.
+func (b *Brain) bound() {
 	if len(b.kept) > 20000 {
 		maps.DeleteFunc(b.kept, func(_ keptKey, v kept) bool { return b.now-v.at > int64(time.Minute) })
+	}
+	if len(b.pairs) > 20000 {
 		maps.DeleteFunc(b.pairs, func(_ string, p pair) bool { return b.now-p.at > int64(time.Minute) })
 	}
 }
@@ -614,6 +621,12 @@
 // recently is for how long strikes count: a minute, several times the longest that they keep an engine out.
 const recently = int64(time.Minute)
 
+// departed is whether an engine has been out of the list for longer than what it did still counts, with nothing
+// out there. A fleet that is always replaced would else be remembered whole.
+func (b *Brain) departed(e *engine, l load) bool {
+	return e.goneAt > 0 && b.now-e.goneAt > recently && l.reads+l.streams == 0
+}
+
 // usable lists the engines that fit and are healthy, by id. Where none is healthy, the best that fit are.
 func (b *Brain) usable(inf *inference, loads map[string]load, fits func(*engine) bool) []*engine {
 	fit, well, lags, strikes := []*engine{}, []*engine{}, []int64{}, []int64{}
--- a/brain/digest.go
+++ b/brain/digest.go
@@ -27,7 +27,7 @@
 	for _, id := range b.ids {
 		e := b.engines[id]
 		fmt.Fprintln(w, e.EngineEntry, ago(e.sent), ago(e.did), samples(e.samples), e.paces, ago(e.strikes), e.trial,
-			b.now-e.coldFrom, max(0, e.fullUntil-b.now), e.memory, b.now-e.reportAt, e.waits, b.now-e.askedAt,
+			b.now-e.coldFrom, max(0, e.fullUntil-b.now), e.memory, b.now-e.reportAt, e.waits, b.now-e.askedAt, min(e.goneAt, 1)*(b.now-e.goneAt),
 			b.now-e.heardAt, b.now-e.silentAt, b.now-e.goodAt)
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.infs)) {
--- a/brain/help.go
+++ b/brain/help.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 )
@@ -200,7 +201,7 @@
 		if n.Weight <= 0 {
 			n.Weight = 1
 		}
-		e.EngineEntry = n
+		e.EngineEntry, e.goneAt = n, 0
 		role := b.word(fmt.Sprintf("engine_facts.role_of_kind.%d", n.Kind))
 		e.reader, e.writer = role != "write", role != "read"
 	}
@@ -208,8 +209,13 @@
 		if news.Whole && !seen[id] || e.Out {
 			e.Ready = false
 			b.dropKept(id, b.now)
+			if e.goneAt == 0 {
+				e.goneAt = b.now
+			}
 		}
 	}
+	loads := b.loads()
+	maps.DeleteFunc(b.engines, func(id string, e *engine) bool { return b.departed(e, loads[id]) })
 	b.ids = b.ids[:0]
 	for id := range b.engines {
 		b.ids = append(b.ids, id)
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -469,3 +469,32 @@
 		n.want()
 	}
 }
+
+// What a node remembers is bounded, however many engines, sessions and inferences come and go.
+func TestMemoryOfADayWithoutEndIsBounded(t *testing.T) {
+	n := newNode(t, nil)
+	for i := range int64(30000) {
+		if i%100 == 0 {
+			list := EngineNews{Whole: true}
+			for k, id := range []string{"r0", "r1", fmt.Sprint("w", i), fmt.Sprint("w", i+1)} {
+				list.Engines = append(list.Engines, EngineEntry{Engine: id, Weight: 1, Kind: k / 2, Ready: true})
+			}
+			n.step(1000, list)
+		}
+		reader := n.arrive(i, 0, fmt.Sprint("s", i))
+		writer := n.read(20, i, reader)
+		n.first(20, i, writer)
+		n.step(60, Outcome{Inf: i, Send: 1, Engine: writer, Verdict: Completed, Ended: true})
+		for token := range n.b.timers {
+			if i%50 == 0 {
+				n.step(0, TimerDue{token})
+			}
+		}
+	}
+	b := n.b
+	if len(b.engines) > 40 || len(b.ids) > 40 || len(b.infs) > 0 || len(b.timers) > 300 || len(b.kept) > 20001 ||
+		len(b.pairs) > 20001 {
+		t.Errorf("engines %d, listed %d, inferences %d, timers %d, kept %d, pairs %d", len(b.engines), len(b.ids),
+			len(b.infs), len(b.timers), len(b.kept), len(b.pairs))
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -48,6 +48,7 @@
 	heardAt        int64   // when a probe last ended
 	silentAt       int64   // when one last ended without an answer
 	goodAt         int64   // when it last did well
+	goneAt         int64   // since when it is not in the list; 0 while it is
 }
 
 // sample is one lag: of a read, or of a wait for the first token.
--- a/node/core.go
+++ b/node/core.go
@@ -397,24 +397,34 @@
 		o.happen(s, attempt.NoLine, "it has its final answer")
 		return
 	}
-	var request []byte
-	var err error
-	to, left := o.reach(e.Engine), time.Duration(inf.giveUpAt-o.now)
-	if s.writes {
-		request, err = o.speaks.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
-	} else {
-		request, err = o.speaks.Read(inf.asked.Call, inf.name, to, s.n, left)
-	}
 	atMost := int64(o.d.Lines.Idle)
 	if s.writes && o.d.Routes[inf.route].Effect != "retriable" {
 		atMost = int64(o.d.Lines.IdleUnsafe)
 	}
-	if err != nil || !o.carry(e.Engine, s, nil, request, atMost) {
+	if !o.carry(e.Engine, s, nil, atMost) {
 		// The node's own bound says nothing of the engine.
 		o.happen(s, attempt.Barred, "no line to it may be opened")
 	}
 }
 
+// request is what a line is to carry. It is made as it is written: what it says of the client's time must not
+// count the time that the line took to come up.
+func (o *Core) request(l *Line) ([]byte, error) {
+	to := o.reach(l.Engine)
+	if e := l.errand; e != nil {
+		if e.name != "" {
+			return o.speaks.Release(to, e.name, e.send), nil
+		}
+		return o.speaks.Probe(to), nil
+	}
+	s := l.send
+	inf, left := s.inf, time.Duration(s.inf.giveUpAt-o.now)
+	if s.writes {
+		return o.speaks.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
+	}
+	return o.speaks.Read(inf.asked.Call, inf.name, to, s.n, left)
+}
+
 // reads is whether a send to an engine asks for a read: by its kind, or, where an engine of both roles does not
 // answer what it is asked to read, by whether a state is at hand.
 func (o *Core) reads(engineID string, inf *open) bool {
@@ -643,6 +653,10 @@
 
 // ---- engines come and go
 
+// departed is for how long an engine is remembered that has left the list. A minute: several times what a
+// connection may need to come up, after which nothing is written to it.
+const departed = int64(time.Minute)
+
 // TakeList takes a list of engines, which replaces the one before.
 func (o *Core) TakeList(list roster.List) {
 	news, unknown := o.d.News(list)
@@ -654,6 +668,14 @@
 		}
 	}
 	o.told.HearAll(ready, o.listed, o.now)
+	o.listed = slices.DeleteFunc(o.listed, func(engine string) bool {
+		_, listed := ready[engine]
+		gone := !listed && o.now-o.told[engine] > departed
+		if gone {
+			delete(o.told, engine)
+		}
+		return gone
+	})
 	o.list = &list
 	o.watch.Listed(list.Revision, len(news.Engines), unknown)
 	o.tell(news)
--- /dev/null
+++ b/node/core_test.go
@@ -0,0 +1,229 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sandcourse/brain"
+	"sandcourse/node"
+	"sandcourse/platform"
+	"sandcourse/roster"
+)
+
+// bench is a core whose sockets are the test's: it sees each byte that is written and the time of it.
+type bench struct {
+	t     *testing.T
+	core  *node.Core
+	now   int64
+	dials []*node.Line
+	lines []*socket
+	heard []brain.Input
+}
+
+func (b *bench) Dial(l *node.Line)                             { b.dials = append(b.dials, l) }
+func (b *bench) Tell(int, string)                              {}
+func (b *bench) Around(in brain.Input, step func())            { b.heard = append(b.heard, in); step() }
+func (b *bench) ModuleFailed(p any, _ brain.Input, row []byte) { b.t.Fatalf("%v\n%s", p, row) }
+func (b *bench) Final(node.Final)                              {}
+func (b *bench) Shed(string, int)                              {}
+func (b *bench) First(string, time.Duration, int)              {}
+func (b *bench) Refused(string)                                {}
+func (b *bench) Unreleased()                                   {}
+func (b *bench) Listed(int64, int, []string)                   {}
+
+// socket is a connection to an engine.
+type socket struct {
+	line  *node.Line
+	wrote bytes.Buffer
+	shut  bool
+}
+
+func (s *socket) Write(request []byte) error { s.wrote.Write(request); return nil }
+func (s *socket) Written() bool              { return true }
+func (s *socket) Close()                     { s.shut = true }
+
+// screen is a connection of a client.
+type screen struct{ bytes.Buffer }
+
+func (s *screen) Send(data []byte) error { s.Write(data); return nil }
+func (s *screen) Drained() bool          { return true }
+func (s *screen) StopReading()           {}
+func (s *screen) Close()                 {}
+
+const told = `{"name":"n0","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":1024},
+ "settings":{"areas":["a"],"zone":0,"index":0,"peers_total":1,"tick_us":4000,"flavors":["m1","m2"],"ceilings":{
+ "try_limit":5,"cancel":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000},"report":{
+ "how":"inline","fields":["x0","x1"]},"family_info":{"stage_of_kind":["read","write"],"pin_limit_us":1000000,
+ "kind_memory_tokens":[100000,100000]},"classes":[{"name":"chat","effect":"retryable","worth":1,"objective_us":1000000},
+ {"name":"alert","effect":"fragile","worth":5,"objective_us":1000000}],"obligations":{"drain_grace_us":250000}}}`
+
+func newBench(t *testing.T) *bench {
+	told, err := platform.ReadTold("test", []byte(told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := told.Deployment("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, now: 1e15}
+	b.core = node.New(d, platform.New(told.Reports()), 1, 1, b.now, b, b)
+	b.list("r", "w")
+	return b
+}
+
+// list names the engines that are ready; r... are readers.
+func (b *bench) list(ids ...string) {
+	list := roster.List{Revision: 1}
+	for _, id := range ids {
+		kind := "m2"
+		if id[0] == 'r' {
+			kind = "m1"
+		}
+		list.Engines = append(list.Engines, roster.Entry{Engine: id, Host: "127.0.0.1:1", Kind: kind, Zone: "a", Weight: 1,
+			State: roster.Ready})
+	}
+	b.core.Begin(b.now)
+	b.core.TakeList(list)
+	b.core.Turn(b.now)
+}
+
+func (b *bench) pass(d time.Duration) {
+	for end := b.now + int64(d); b.now < end; {
+		b.now = min(end, max(b.now+1, b.core.Due()))
+		b.core.Turn(b.now)
+	}
+}
+
+var clients int64
+
+// ask is a client's request; its inference waits for a line to a reader then.
+func (b *bench) ask(name, route string) (*node.Client, *screen) {
+	clients++
+	out := &screen{}
+	c := &node.Client{ID: clients, Socket: out}
+	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
+		"Affinity-Key: k%s\r\nRequest-Timeout: 3.0\r\nContent-Length: 2\r\n\r\n{}", name, route, name)
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	a := &node.Asked{Request: r, Bytes: 2}
+	a.Call, a.Party, a.Wrong = platform.New(nil).Parse(r, []byte("{}"))
+	b.core.Begin(b.now)
+	b.core.ClientOpened(c)
+	b.core.Ask(c, a)
+	b.core.Turn(b.now)
+	return c, out
+}
+
+// connect lets the oldest line that is dialled come up.
+func (b *bench) connect() *socket {
+	b.t.Helper()
+	if len(b.dials) == 0 {
+		b.t.Fatal("no line is dialled")
+	}
+	s := &socket{line: b.dials[0]}
+	b.dials = b.dials[1:]
+	b.lines = append(b.lines, s)
+	b.core.Begin(b.now)
+	b.core.LineDialled(s.line, s, nil)
+	b.core.Turn(b.now)
+	return s
+}
+
+// held answers a reader's send.
+func (b *bench) held(s *socket) {
+	b.core.Begin(b.now)
+	b.core.LineHead(s.line, &http.Response{Status: "202", StatusCode: 202, Header: http.Header{}}, nil)
+	b.core.LineEnd(s.line, []byte(`{"cached_tokens":0}`), true)
+	b.core.Turn(b.now)
+}
+
+// posts counts the inferences written to engines so far.
+func (b *bench) posts() (n int) {
+	for _, s := range b.lines {
+		n += strings.Count(s.wrote.String(), "POST ")
+	}
+	return n
+}
+
+// The time that an engine is told is what is left when it is told. A line that took a quarter second to come up
+// had its engine told as much too much.
+func TestEngineIsToldTheTimeThatIsLeft(t *testing.T) {
+	b := newBench(t)
+	b.ask("a1", "chat")
+	b.pass(200 * time.Millisecond)
+	s := b.connect()
+	r, err := http.ReadRequest(bufio.NewReader(&s.wrote))
+	if err != nil {
+		t.Fatal(err)
+	}
+	left, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
+	if err != nil || left > 2.81 || left < 2.7 {
+		t.Errorf("200 ms after it asked for 3 s, %q is told: %v", r.Header.Get("Request-Timeout"), err)
+	}
+}
+
+// A client that has gone is sent on nowhere: not while its line is dialled, nor between read and write, nor while
+// it waits for a writer. Its state is let go of all the same.
+func TestNothingIsSentOnForAClientThatHasGone(t *testing.T) {
+	for _, route := range []string{"chat", "alert"} {
+		b := newBench(t)
+		c, _ := b.ask("a1", route)
+		b.core.ClientGone(c)
+		b.connect()
+		b.pass(3 * time.Second)
+		if n := b.posts(); n != 0 {
+			t.Errorf("%s: %d sends for a client that left while its line was dialled", route, n)
+		}
+
+		b = newBench(t)
+		c, _ = b.ask("a2", route)
+		s := b.connect()
+		b.core.ClientGone(c)
+		b.held(s)
+		b.pass(3 * time.Second)
+		if n := b.posts(); n != 1 {
+			t.Errorf("%s: %d sends, the read among them, for a client that left while it was read", route, n)
+		}
+
+		b = newBench(t)
+		b.list("r") // no writer is there
+		c, _ = b.ask("a3", route)
+		s = b.connect()
+		b.held(s)
+		b.pass(50 * time.Millisecond)
+		b.core.ClientGone(c)
+		b.list("r", "w")
+		b.pass(3 * time.Second)
+		released := false
+		for len(b.dials) > 0 {
+			b.connect()
+		}
+		for _, s := range b.lines {
+			released = released || strings.Contains(s.wrote.String(), "DELETE /v1/holds/a3")
+		}
+		if n := b.posts(); n != 1 || !released {
+			t.Errorf("%s: %d sends, state let go of: %v, for a client that left while it waited", route, n, released)
+		}
+	}
+}
+
+// Engines that are always new must not be remembered for good.
+func TestDepartedEnginesAreForgotten(t *testing.T) {
+	b := newBench(t)
+	for i := range 500 {
+		b.list("r", fmt.Sprint("w", i))
+		b.pass(time.Second)
+	}
+	if n := b.core.Remembers(); n > 80 {
+		t.Errorf("after 500 engines came and went, %d are remembered", n)
+	}
+}
--- a/node/lines.go
+++ b/node/lines.go
@@ -50,7 +50,7 @@
 const spareLines = 2
 
 // carry finds a line for a send or an errand and writes to it, now or once it is connected.
-func (o *Core) carry(engineID string, s *send, e *errand, request []byte, atMost int64) bool {
+func (o *Core) carry(engineID string, s *send, e *errand, atMost int64) bool {
 	spare := 0
 	if e != nil {
 		spare = spareLines
@@ -75,7 +75,7 @@
 		l = &Line{ID: lease.ID, Engine: engineID, Host: o.reach(engineID).Host, dialAt: o.now}
 		o.lines[l.ID] = l
 	}
-	l.send, l.errand, l.request, l.again = s, e, request, lease.Reused
+	l.send, l.errand, l.again = s, e, lease.Reused
 	if s != nil {
 		s.line = l
 	}
@@ -118,10 +118,16 @@
 			o.happen(s, attempt.Barred, "its engine drains or is gone")
 			return
 		}
-		o.took |= 1 << s.machine.Happen(attempt.Connected).Row
 	}
-	request := l.request
-	l.request, l.wroteAt = nil, o.now
+	request, err := o.request(l)
+	if err != nil && l.send != nil {
+		o.happen(l.send, attempt.Barred, err.Error())
+		return
+	}
+	if l.send != nil {
+		o.took |= 1 << l.send.machine.Happen(attempt.Connected).Row
+	}
+	l.wroteAt = o.now
 	if err := l.socket.Write(request); err != nil {
 		return // its end follows, and is judged by how much was written
 	}
@@ -275,13 +281,8 @@
 func (o *Core) run(e *errand) {
 	e.at, e.head = o.now, nil
 	e.tries++
-	to := o.reach(e.engine)
-	request := o.speaks.Probe(to)
-	if e.name != "" {
-		request = o.speaks.Release(to, e.name, e.send)
-	}
 	o.errands[e] = true
-	if !o.carry(e.engine, nil, e, request, int64(o.d.Lines.Idle)) {
+	if !o.carry(e.engine, nil, e, int64(o.d.Lines.Idle)) {
 		o.errandDone(e, nil, nil)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -98,7 +98,6 @@
 	send      *send      // what it carries
 	errand    *errand    // or this
 	restSince int64      // what it carried is over, but not read to its end, since then
-	request   []byte     // to write once connected
 	again     bool       // it has carried something before
 	wroteAt   int64      // when its last request was written
 	dialAt    int64
