Of two homes the one with less to read before the inference is

Cause: a home counted as calm while its lag was under half the target, 0.9 s here, though leaving it costs at most the 0.37 s in which its shared beginning is read anew, and the second home keeps that too. Ruled out: writers (first token soon after the read) and lack of memory (reports of 0 to 3 percent).

Change: among calm homes whose reports are fresh, the one with less to read: what waits, and what of the prompt is not kept there; the first home alone is credited with what follows the shared beginning, as far as it was found of late.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -307,8 +307,9 @@
 	// A node that no other tells does not know a session's earlier reader. Then a session unknown here goes to
 	// its home, or its second one where the first is over the cap, also by its report, or silent.
 	homes := b.homes(inf, ready)
-	if i := slices.IndexFunc(homes, func(e *engine) bool { return under(e) && b.calm(inf, e) }); i >= 0 {
-		return homes[i]
+	calm := func(e *engine) bool { return under(e) && b.calm(inf, e) }
+	if e := best(homes, calm, func(x, y *engine) int { return b.nearer(inf, homes, x, y) }); e != nil {
+		return e
 	}
 	// A cold reader that has a place is idle, which a crowded home is not.
 	if i := slices.IndexFunc(ready, b.cold); i >= 0 && len(homes) > 0 {
@@ -352,6 +353,24 @@
 	return homes[:min(2, len(homes))]
 }
 
+// nearer compares two homes by how much must be read until the inference is, in thousands of tokens: what waits
+// there by its report, and what of the prompt it is not thought to keep. A home keeps the shared beginning. Only
+// the first may keep what follows, of which as much is counted as was found of late. Where a report is not fresh
+// the first home stays first.
+func (b *Brain) nearer(inf *inference, homes []*engine, x, y *engine) int {
+	if !b.fresh(x) || !b.fresh(y) {
+		return 0
+	}
+	work := func(e *engine) float64 {
+		keeps := min(inf.PrefixTokens, inf.Prompt)
+		if e == homes[0] {
+			keeps += float64(mean(b.found)) / 1e6 * (inf.Prompt - keeps)
+		}
+		return e.waits + (inf.Prompt-keeps)/1000
+	}
+	return cmp.Compare(work(x), work(y))
+}
+
 // calm is whether an engine answers, and its reported load makes a wait shorter than a full read elsewhere,
 // or is under the cap over the readers heard of in 10 s.
 func (b *Brain) calm(inf *inference, e *engine) bool {
@@ -405,6 +424,9 @@
 	if v, ok := b.kept[prefix]; ok && inf.Prefix != "" && keptTokens < 0.5*min(v.tokens, inf.PrefixTokens) {
 		b.dropKept(reader, inf.at)
 	}
+	if rest := inf.Prompt - inf.PrefixTokens; rest > 0 {
+		b.found = last(b.found, int64(1e6*max(0, keptTokens-inf.PrefixTokens)/rest), 64)
+	}
 	b.kept[keptKey{true, inf.Session, reader}] = kept{inf.Prompt, b.now}
 	if inf.Prefix != "" {
 		b.kept[prefix] = kept{inf.PrefixTokens, b.now}
@@ -412,8 +434,8 @@
 	b.bound()
 }
 
-// bound keeps what is remembered to 20,000 entries of a kind, a few megabytes; then what is older than a minute
-// goes.
+// bound keeps what is remembered to 20,000 entries of a kind, a few megabytes; then what is older than a
+// minute goes.
 func (b *Brain) bound() {
 	if len(b.kept) > 20000 {
 		maps.DeleteFunc(b.kept, func(_ keptKey, v kept) bool { return b.now-v.at > int64(time.Minute) })
@@ -621,8 +643,8 @@
 // recently is for how long strikes count: a minute, several times the longest that they keep an engine out.
 const recently = int64(time.Minute)
 
-// departed is whether an engine has been out of the list for longer than what it did still counts, with nothing
-// out there. A fleet that is always replaced would else be remembered whole.
+// departed is whether an engine has been out of the list for longer than what it did still counts, with
+// nothing out there. A fleet that is always replaced would else be remembered whole.
 func (b *Brain) departed(e *engine, l load) bool {
 	return e.goneAt > 0 && b.now-e.goneAt > recently && l.reads+l.streams == 0
 }
--- a/brain/digest.go
+++ b/brain/digest.go
@@ -23,7 +23,7 @@
 		}
 		return out
 	}
-	fmt.Fprintln(w, b.draws, b.turn, b.now-b.firstAt, b.prefixes, b.paces, samples(b.expects), samples(b.firsts))
+	fmt.Fprintln(w, b.draws, b.turn, b.now-b.firstAt, b.prefixes, b.paces, b.found, samples(b.expects), samples(b.firsts))
 	for _, id := range b.ids {
 		e := b.engines[id]
 		fmt.Fprintln(w, e.EngineEntry, ago(e.sent), ago(e.did), samples(e.samples), e.paces, ago(e.strikes), e.trial,
--- a/brain/help.go
+++ b/brain/help.go
@@ -20,6 +20,14 @@
 	return row[len(row)/2]
 }
 
+// mean is 0 of none.
+func mean(row []int64) (sum int64) {
+	for _, v := range row {
+		sum += v
+	}
+	return sum / int64(max(1, len(row)))
+}
+
 // best is the first of the least by order among those that fit.
 func best(row []*engine, fits func(*engine) bool, order func(x, y *engine) int) *engine {
 	var found *engine
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -498,3 +498,33 @@
 			len(b.infs), len(b.timers), len(b.kept), len(b.pairs))
 	}
 }
+
+// Found on the new engines' calm day: inferences stood behind tens of thousands of tokens at their first home, while
+// the second, which keeps the shared beginning as well, had none to read.
+func TestOfTwoHomesTheOneWithLessToRead(t *testing.T) {
+	home, _ := newNode(t, nil).serve(1, "s")
+	for _, at := range []struct {
+		home, other, found float64
+		moves              bool
+	}{{6, 3, 0, true}, {3.2, 3, 1, false}, {3.2, 3, 0, true}, {3, 3, 0, false}} {
+		n := newNode(t, map[string]any{"limits.probes": true})
+		n.b.paces, n.b.found = []int64{50 * ms}, []int64{int64(1e6 * at.found)}
+		n.step(0, Arrival{Inf: 1, Session: "s", Prefix: "p", Prompt: 2000, PrefixTokens: 1500, GiveUpAt: n.now + 4000*ms})
+		to := ""
+		for _, e := range n.got {
+			if p, ok := e.(Probe); ok {
+				load := map[string]float64{"waiting_thousand_tokens": at.other}
+				if p.Engine == home {
+					load["waiting_thousand_tokens"] = at.home
+				}
+				if sent := n.step(1, ProbeResult{Engine: p.Engine, Verdict: Completed, Report: load}); sent != "" {
+					to = sent
+				}
+			}
+		}
+		if to == "" || (to != home) != at.moves {
+			t.Errorf("with %v thousand tokens at home and %v at the other, %v found: sent to %q, home is %s",
+				at.home, at.other, at.found, to, home)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -16,6 +16,7 @@
 	started  bool
 	firstAt  int64    // when it started
 	prefixes []string // shared beginnings of the last arrivals
+	found    []int64  // of the last reads: millionths of what follows the shared beginning that were kept
 	paces    []int64  // of the last reads: lag for each unit of reported load, the read itself one
 	expects  []sample // how far over a quarter of the target the last arrivals' expected waits were
 	firsts   []sample // how far over the target the last first tokens came
