The rest of a stream is never refused as if it had not run

Every way to a refusal was read instead: the module's giveUp counts sends out, sends that may have run and calls for the rest of a stream; shedCall, by which the core refuses before the module hears (stopping, bounds on open inferences and bytes, budget of retries), counted none of these. That is a real hole and mended; that it was this break is not shown.

--- a/node/core.go
+++ b/node/core.go
@@ -379,9 +379,14 @@
 	o.forget(inf)
 }
 
-// shedCall refuses a call that was never an inference.
+// shedCall refuses a call that was never an inference. One that asks for the rest of a stream has run before, under
+// another name, so where it may not run twice a refusal, which says that a further try is harmless, would be untrue.
 func (o *Core) shedCall(c *Client, a *Asked, status int, why string, again time.Duration) {
 	o.watch.Shed(a.Call.Route, a.Call.Prompt)
+	if a.Call.Resumed && o.d.Routes[o.d.Route(a.Call.Route)].Effect != "retriable" {
+		o.reply(c, a, o.speaks.Errored("", why, false))
+		return
+	}
 	o.reply(c, a, o.speaks.Shed(status, "", why, again))
 }
 
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -104,12 +104,12 @@
 var clients int64
 
 // ask is a client's request; its inference waits for a line to a reader then.
-func (b *bench) ask(name, route string) (*node.Client, *screen) {
+func (b *bench) ask(name, route string, more ...string) (*node.Client, *screen) {
 	clients++
 	out := &screen{}
 	c := &node.Client{ID: clients, Socket: out}
 	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
-		"Affinity-Key: k%s\r\nRequest-Timeout: 3.0\r\nContent-Length: 2\r\n\r\n{}", name, route, name)
+		"Affinity-Key: k%s\r\nRequest-Timeout: 3.0\r\n%sContent-Length: 2\r\n\r\n{}", name, route, name, strings.Join(more, ""))
 	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		b.t.Fatal(err)
@@ -227,3 +227,21 @@
 		t.Errorf("after 500 engines came and went, %d are remembered", n)
 	}
 }
+
+// Rule 2 broke once on a soak: a non-retriable was refused after it may have run. The rest of a stream that broke is
+// asked for under a new name, and whatever bound refuses it, a refusal would say that a further try is harmless.
+func TestRestOfAStreamIsNotRefusedAsIfItNeverRan(t *testing.T) {
+	for _, at := range []struct{ route, retry, status string }{
+		{"chat", "", "503"}, {"alert", "", "503"}, {"alert", "Client-Retry: 1\r\n", "503"},
+		{"chat", "Client-Retry: again\r\n", "503"}, {"alert", "Client-Retry: again\r\n", "502"},
+	} {
+		b := newBench(t)
+		b.core.Begin(b.now)
+		b.core.Stopping()
+		b.pass(5 * time.Second)
+		_, out := b.ask("a1", at.route, at.retry)
+		if got := out.String(); !strings.HasPrefix(got, "HTTP/1.1 "+at.status) {
+			t.Errorf("%s %q: %q", at.route, at.retry, got)
+		}
+	}
+}
