Reads of what must not run twice wait on at silent readers; an incident that is open

As no such break was seen before silent engines were probed, their reads wait on as before; retriable ones and writers are left as they were. The test fails without the change.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -353,10 +353,10 @@
 	return homes[:min(2, len(homes))]
 }
 
-// nearer compares two homes by how much must be read until the inference is, in thousands of tokens: what waits
-// there by its report, and what of the prompt it is not thought to keep. A home keeps the shared beginning. Only
-// the first may keep what follows, of which as much is counted as was found of late. Where a report is not fresh
-// the first home stays first.
+// nearer compares two homes by how much must be read until the inference is, in thousands of tokens: what
+// waits there by its report, and what of the prompt it is not thought to keep. A home keeps the shared
+// beginning. Only the first may keep what follows, of which as much is counted as was found of late. Where
+// a report is not fresh the first home stays first.
 func (b *Brain) nearer(inf *inference, homes []*engine, x, y *engine) int {
 	if !b.fresh(x) || !b.fresh(y) {
 		return 0
@@ -530,13 +530,15 @@
 		b.drive(inf, told)
 		b.forget(inf)
 	}
-	// Busy engines say so; one that says nothing has not taken what was written to it before either.
+	// Busy engines say so; one that says nothing has not taken what was written to it before either. A read of what
+	// must not run twice waits on: twice such a one was told as run again after its read was given up.
 	if p.Verdict != TimedOut && p.Verdict != NotConnected && p.Verdict != ConnectionLost {
 		return
 	}
 	for _, inf := range b.those(func(inf *inference) bool {
 		n := len(inf.sends) - 1
-		return n >= 0 && inf.sends[n].engine == p.Engine && inf.sends[n].at < e.askedAt && b.unseen(inf)
+		return n >= 0 && inf.sends[n].engine == p.Engine && inf.sends[n].at < e.askedAt && b.unseen(inf) &&
+			(inf.sends[n].writes || b.word(b.route(inf, "effect")) == "retriable")
 	}) {
 		b.strike(e)
 		b.drive(inf, silent)
--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -499,6 +499,31 @@
 	}
 }
 
+// A read that is given up at a silent reader is repeated only where the inference may run twice: see
+// docs/incidents/read-given-up-at-a-silent-reader.md.
+func TestReadAtASilentReaderIsRepeatedOnlyWhereItMayRunTwice(t *testing.T) {
+	for route, effects := range [][]Effect{{Withdraw{1, 0}}, nil} {
+		n := newNode(t, map[string]any{"limits.probes": true})
+		n.arrive(1, route, "s")
+		reader := ""
+		for _, e := range n.got {
+			if p, ok := e.(Probe); ok {
+				if to := n.step(1, ProbeResult{Engine: p.Engine, Verdict: Completed}); to != "" {
+					reader = to
+				}
+			}
+		}
+		for _, e := range n.got {
+			if a, ok := e.(ArmTimer); ok && reader != "" {
+				n.step(a.In/ms+1, TimerDue{a.Token})
+				n.want(Probe{reader})
+			}
+		}
+		n.step(0, ProbeResult{Engine: reader, Verdict: TimedOut})
+		n.want(effects...)
+	}
+}
+
 // Found on the new engines' calm day: inferences stood behind tens of thousands of tokens at their first home, while
 // the second, which keeps the shared beginning as well, had none to read.
 func TestOfTwoHomesTheOneWithLessToRead(t *testing.T) {
