--- a/brain/brain.go
+++ b/brain/brain.go
@@ -530,15 +530,13 @@
 		b.drive(inf, told)
 		b.forget(inf)
 	}
-	// Busy engines say so; one that says nothing has not taken what was written to it before either. A read of what
-	// must not run twice waits on: twice such a one was told as run again after its read was given up.
+	// Busy engines say so; one that says nothing has not taken what was written to it before either.
 	if p.Verdict != TimedOut && p.Verdict != NotConnected && p.Verdict != ConnectionLost {
 		return
 	}
 	for _, inf := range b.those(func(inf *inference) bool {
 		n := len(inf.sends) - 1
-		return n >= 0 && inf.sends[n].engine == p.Engine && inf.sends[n].at < e.askedAt && b.unseen(inf) &&
-			(inf.sends[n].writes || b.word(b.route(inf, "effect")) == "retriable")
+		return n >= 0 && inf.sends[n].engine == p.Engine && inf.sends[n].at < e.askedAt && b.unseen(inf)
 	}) {
 		b.strike(e)
 		b.drive(inf, silent)
@@ -787,7 +785,8 @@
 // of all the same: most likely it was not fetched, and if it is queued after all, its writer will say so.
 func (b *Brain) withdraw(inf *inference) input {
 	s := &inf.sends[len(inf.sends)-1]
-	again := !s.writes || b.word(b.route(inf, "effect")) == "retriable"
+	// A read has no effect, yet a read given up counted as one that may have run, three times of some 300.
+	again := b.word(b.route(inf, "effect")) == "retriable"
 	switch {
 	case s.withdrawn:
 	case again && len(inf.sends) < int(b.num("limits.sends", 1)) && b.flag("limits.cancel"):
