--- a/node/clients.go
+++ b/node/clients.go
@@ -27,11 +27,8 @@
 	}
 }
 
-// closeClient closes a connection at once. A request that its poller has read meanwhile is not taken any more: its
-// client sees a close that crosses it, and asks again elsewhere.
 func (o *Core) closeClient(c *Client) {
 	if c != nil {
-		c.parting = true
 		c.Socket.StopReading()
 		o.flush(c)
 		c.Socket.Close()
