--- a/brain/brain.go
+++ b/brain/brain.go
@@ -785,7 +785,7 @@
 // of all the same: most likely it was not fetched, and if it is queued after all, its writer will say so.
 func (b *Brain) withdraw(inf *inference) input {
 	s := &inf.sends[len(inf.sends)-1]
-	// A read has no effect, yet a read given up counted as one that may have run, three times of some 300.
+	// A read has no effect, yet reads given up have counted as such that may have run: docs/incidents.
 	again := b.word(b.route(inf, "effect")) == "retriable"
 	switch {
 	case s.withdrawn:
