Tests of silent engines share how an inference is taken and how its engine is asked

Read over once more: two tests wrote the same two loops. The assertions stay; a test whose reader is never found now fails at once.

--- a/brain/plain_test.go
+++ b/brain/plain_test.go
@@ -427,11 +427,9 @@
 	n.want(Shed{1, 0}, Discard{1})
 }
 
-// waiting is a node whose writer has had an inference of a route for so long that it is asked whether it is there.
-func waiting(t *testing.T, route int) (n *node, writer string) {
-	n = newNode(t, map[string]any{"limits.probes": true, "nodes": 1.0})
+// asked takes an inference of a route whose engines all answer when they are asked, and returns its reader.
+func (n *node) asked(route int) (reader string) {
 	n.arrive(1, route, "s")
-	reader := ""
 	for _, e := range n.got {
 		if p, ok := e.(Probe); ok {
 			if to := n.step(1, ProbeResult{Engine: p.Engine, Verdict: Completed}); to != "" {
@@ -439,13 +437,25 @@
 			}
 		}
 	}
-	writer = n.read(20, 1, reader)
+	return reader
+}
+
+// quiet lets so much time pass since a send that its engine is asked whether it is there.
+func (n *node) quiet(engine string) {
+	n.t.Helper()
 	for _, e := range n.got {
 		if a, ok := e.(ArmTimer); ok {
 			n.step(a.In/ms+1, TimerDue{a.Token})
-			n.want(Probe{writer})
+			n.want(Probe{engine})
 		}
 	}
+}
+
+// waiting is a node whose writer has had an inference of a route for so long that it is asked whether it is there.
+func waiting(t *testing.T, route int) (n *node, writer string) {
+	n = newNode(t, map[string]any{"limits.probes": true, "nodes": 1.0})
+	writer = n.read(20, 1, n.asked(route))
+	n.quiet(writer)
 	return n, writer
 }
 
@@ -504,21 +514,8 @@
 func TestReadAtASilentReaderIsRepeatedOnlyWhereItMayRunTwice(t *testing.T) {
 	for route, effects := range [][]Effect{{Withdraw{1, 0}}, nil} {
 		n := newNode(t, map[string]any{"limits.probes": true})
-		n.arrive(1, route, "s")
-		reader := ""
-		for _, e := range n.got {
-			if p, ok := e.(Probe); ok {
-				if to := n.step(1, ProbeResult{Engine: p.Engine, Verdict: Completed}); to != "" {
-					reader = to
-				}
-			}
-		}
-		for _, e := range n.got {
-			if a, ok := e.(ArmTimer); ok && reader != "" {
-				n.step(a.In/ms+1, TimerDue{a.Token})
-				n.want(Probe{reader})
-			}
-		}
+		reader := n.asked(route)
+		n.quiet(reader)
 		n.step(0, ProbeResult{Engine: reader, Verdict: TimedOut})
 		n.want(effects...)
 	}
