One side decides the close of a client's connection: what was read is answered

Seen, by reading: a poller reads and parses requests while the owner closes resting connections (SIGTERM, idle and first call times, room for others). edge/front.go handed a request to the inbox, node/leave.go closed the same connection, and the request was then sent on for a connection that was gone. When such requests were ignored instead, rule 1 broke on rolling restarts, as they count as taken. A connection that ended behind a stream at a stopping node went on being read while its bytes were dropped (clients.go, answered), and Drain ended the process between an idle count and what the inbox held.

Ruled out: leaving it to the order in the inbox, since the bytes are read before anything is queued.

Change: reading and the decision to close exclude each other (client.mu). TryClose refuses while a message is read in part or not yet taken by the owner, reads once more without waiting, and after it nothing is read. Before the end Drain closes all connections this way, and waits a second at most for parts of requests and unread answers. Attempts are not begun once the poller has seen the client go, though the owner has not. A withdrawn attempt's socket is closed before it is judged by what was written. Lists pass the queue, the owner's clock moves with each event, and answers and timers wait 5 ms at most behind a full inbox.

Tests hold a goroutine at named points, both orders of each pair; each was seen to fail with its mend taken out: pending requests, the closed flag, the gate for clients gone, the close at the end.

--- a/edge/back.go
+++ b/edge/back.go
@@ -36,6 +36,7 @@
 
 // Write hands a request to the socket.
 func (l *link) Write(request []byte) error {
+	l.n.pass(AttemptChosen)
 	l.written.Store(0)
 	l.toWrite = int64(len(request))
 	_, err := l.nb.Write(request)
@@ -101,6 +102,7 @@
 		return
 	}
 	pieces, err := l.cutter.Feed(data)
+	n.pass(AnswerRead)
 	for i, p := range pieces {
 		switch p.Kind {
 		case framing.Head:
--- /dev/null
+++ b/edge/crossing_test.go
@@ -0,0 +1,333 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sandcourse/edge"
+	"sandcourse/settings"
+)
+
+// stop holds the first goroutine that comes to a point after it was set.
+type stop struct {
+	point   edge.Point
+	passed  atomic.Int64 // how often Readable was passed while it was set or held
+	set     atomic.Bool
+	reached chan struct{}
+	free    chan struct{}
+}
+
+func newStop(n *edge.Node, p edge.Point) *stop {
+	s := &stop{point: p, reached: make(chan struct{}), free: make(chan struct{})}
+	n.HoldAt(func(at edge.Point) {
+		if at == edge.Readable {
+			s.passed.Add(1)
+		}
+		if at == s.point && s.set.CompareAndSwap(true, false) {
+			close(s.reached)
+			<-s.free
+		}
+	})
+	return s
+}
+
+func (s *stop) wait(t *testing.T) {
+	t.Helper()
+	select {
+	case <-s.reached:
+	case <-time.After(10 * time.Second):
+		t.Fatalf("nobody came to: %s", s.point)
+	}
+}
+
+// kept is a client that keeps its connection.
+type kept struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func dial(t *testing.T, n *edge.Node) *kept {
+	t.Helper()
+	conn, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(20 * time.Second))
+	return &kept{t, conn, bufio.NewReader(conn)}
+}
+
+func wire(name, route string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
+		"Affinity-Key: k\r\nRequest-Timeout: 3.0\r\nContent-Length: 2\r\n\r\n{}", name, route)
+}
+
+func (k *kept) send(text string) {
+	k.t.Helper()
+	if _, err := io.WriteString(k.conn, text); err != nil {
+		k.t.Fatal(err)
+	}
+}
+
+// answer is the status and the body of the next answer; 0 where the connection ends without one.
+func (k *kept) answer() (status int, body string) {
+	r, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		return 0, ""
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, string(data)
+	}
+	return r.StatusCode, string(data)
+}
+
+// until waits for what another goroutine or the kernel does.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// leavesAtOnce is a node that goes from its clients as soon as it is told to stop.
+func leavesAtOnce(d *settings.Deployment) {
+	d.Linger, d.Stay, d.HandOver = time.Millisecond, 0, 0
+}
+
+// stops is whether a node tells that it stops, or takes no connection any more. Its owner has looked after its
+// clients by then.
+func stops(n *edge.Node) bool {
+	once := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 100 * time.Millisecond}
+	r, err := once.Get("http://" + n.Addr() + "/_health")
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return false // its poller may be the one that is held
+	}
+	if err != nil {
+		return true
+	}
+	r.Body.Close()
+	return r.StatusCode != http.StatusOK
+}
+
+func drain(n *edge.Node) (over chan error) {
+	over = make(chan error, 1)
+	go func() { over <- n.Drain(context.Background()) }()
+	return over
+}
+
+// The node is told to stop while a request on a resting connection has been read and its owner has not been told.
+// The request was taken, so it gets an answer before the connection is closed. Closing it under the request lost it.
+func TestStopBehindARequestThatIsRead(t *testing.T) {
+	for _, requests := range [][]string{{"b"}, {"b", "c", "d"}} {
+		reader := newBox(t, "127.0.0.2", always(heldWire))
+		n := newOnPlatform(t, 1024, leavesAtOnce, reader, newBox(t, "127.0.0.3", always(wholeStream)))
+		s := newStop(n, edge.RequestRead)
+		startReady(t, n)
+		client := dial(t, n)
+		client.send(wire("a", "chat"))
+		if status, _ := client.answer(); status != 200 {
+			t.Fatal(status)
+		}
+		s.set.Store(true)
+		text := ""
+		for _, name := range requests {
+			text += wire(name, "alert")
+		}
+		client.send(text)
+		s.wait(t)
+		over := drain(n)
+		until(t, "the node stops", func() bool { return stops(n) })
+		close(s.free)
+		for _, name := range requests {
+			if status, body := client.answer(); status != 200 && status != 503 {
+				t.Errorf("%s of %v was read, and got status %d, body %q", name, requests, status, body)
+			}
+		}
+		if status, _ := client.answer(); status != 0 {
+			t.Error("the connection stays open")
+		}
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// The other order: the owner has decided to close, then the request comes. It is never read, nothing is sent on for
+// it, and its client sees the end of the connection.
+func TestRequestBehindADecidedClose(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	n := newOnPlatform(t, 1024, leavesAtOnce, reader, newBox(t, "127.0.0.3", always(wholeStream)))
+	s := newStop(n, edge.CloseDecided)
+	startReady(t, n)
+	client := dial(t, n)
+	client.send(wire("a", "chat"))
+	if status, _ := client.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	s.set.Store(true)
+	over := drain(n)
+	s.wait(t)
+	before := s.passed.Load()
+	client.send(wire("b", "chat"))
+	// The poller is told of bytes again and again as long as they are not read.
+	until(t, "the poller has left the request unread", func() bool { return s.passed.Load() >= before+2 })
+	close(s.free)
+	if _, err := client.in.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("a close over unread bytes resets the connection; here it ended with %v", err)
+	}
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+	if reader.saw("POST /v1/chat/completions b") != 0 {
+		t.Error("a request that came behind the close was sent on")
+	}
+}
+
+// A request of which only a part has come when the node is told to stop is answered once it is whole.
+func TestStopWithinARequest(t *testing.T) {
+	n := onPlatform(t, 1024, leavesAtOnce, newBox(t, "127.0.0.2", always(heldWire)),
+		newBox(t, "127.0.0.3", always(wholeStream)))
+	client := dial(t, n)
+	client.send(wire("a", "chat"))
+	if status, _ := client.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	text := wire("b", "alert")
+	client.send(text[:len(text)-40])
+	until(t, "a part is read", func() bool {
+		h, err := n.Look(context.Background())
+		return err == nil && h.Bytes > 0
+	})
+	over := drain(n)
+	until(t, "the node stops", func() bool { return stops(n) })
+	client.send(text[len(text)-40:])
+	if status, body := client.answer(); status != 200 && status != 503 {
+		t.Errorf("status %d, body %q", status, body)
+	}
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
+
+// A client that has gone is seen by its poller at once and by the owner in its turn. What the owner does before is
+// late: nothing may be sent on, neither at first nor between read and write.
+func TestClientGoneBeforeTheOwnerIsTold(t *testing.T) {
+	for _, at := range []string{"before the read", "between read and write"} {
+		gate := make(chan struct{})
+		reader := newBox(t, "127.0.0.2", func(int, *http.Request) (string, bool) {
+			<-gate
+			return heldWire, false
+		})
+		writer := newBox(t, "127.0.0.3", always(wholeStream))
+		n := onPlatform(t, 1024, nil, reader, writer)
+		client := dial(t, n)
+		reads := 0
+		var release func()
+		if at == "before the read" {
+			close(gate)
+			release = n.Block()
+			client.send(wire("a", "chat"))
+		} else {
+			reads = 1
+			client.send(wire("a", "chat"))
+			until(t, "it is read", func() bool { return reader.saw("POST") == 1 })
+			release = n.Block()
+			before := n.Queued()
+			close(gate)
+			until(t, "the answer waits for the owner", func() bool { return n.Queued() >= before+2 })
+		}
+		client.conn.(*net.TCPConn).CloseWrite()
+		if _, err := client.in.ReadByte(); err == nil {
+			t.Errorf("%s: the node answers a client that has gone", at)
+		}
+		release()
+		until(t, "the node holds nothing", func() bool {
+			h, err := n.Look(context.Background())
+			return err == nil && h.Inferences == 0 && h.Errands == 0
+		})
+		n.Stop()
+		if reader.saw("POST") != reads || writer.saw("POST") != 0 {
+			t.Errorf("%s: %d reads and %d writes, %d reads wanted", at, reader.saw("POST"), writer.saw("POST"), reads)
+		}
+	}
+}
+
+// A second answer some milliseconds behind the first belongs to nothing that was asked. A connection that is used
+// again at once would take it for the next request's.
+func TestSecondAnswerSomeMillisecondsLate(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	writer.behind = strings.ReplaceAll(wholeStream, "[1]", "[99]")
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	client := dial(t, n)
+	for i := range 20 {
+		client.send(wire(fmt.Sprint("a", i), "chat"))
+		if status, body := client.answer(); status != 200 || body != allEvents {
+			t.Fatalf("%d: status %d, body %q", i, status, body)
+		}
+	}
+}
+
+// rested is past the time for which a connection is not used again behind an answer.
+const rested = 50 * time.Millisecond
+
+// An engine ends a resting connection in the moment in which an attempt is to be written to it. Where no byte has
+// left, the attempt never ran and is made again, also where it must not run twice. Where it was written first it may
+// have run, and only what may run twice is made again.
+func TestEngineEndsARestingConnection(t *testing.T) {
+	for _, written := range []bool{false, true} {
+		for _, route := range []string{"chat", "alert"} {
+			reader := newBox(t, "127.0.0.2", always(heldWire))
+			writer := newBox(t, "127.0.0.3", always(wholeStream))
+			n := newOnPlatform(t, 1024, nil, reader, writer)
+			s := newStop(n, edge.AttemptChosen)
+			startReady(t, n)
+			client := dial(t, n)
+			client.send(wire("a", route))
+			if status, _ := client.answer(); status != 200 {
+				t.Fatal(status)
+			}
+			answered := time.Now()
+			until(t, "connections have rested", func() bool { return time.Since(answered) > rested })
+			if written {
+				writer.endOn("b")
+			} else {
+				s.set.Store(true)
+			}
+			client.send(wire("b", route))
+			if !written {
+				s.wait(t) // the owner stands before the read is written
+				before := n.Queued()
+				reader.endAll()
+				until(t, "the owner has yet to hear of the end", func() bool { return n.Queued() > before })
+				close(s.free)
+			}
+			status, body := client.answer()
+			want := 200
+			if written && route == "alert" {
+				want = http.StatusBadGateway
+			}
+			n.Stop()
+			if status != want || reader.saw("POST /v1/chat/completions b") != 1 {
+				t.Errorf("%s, written first %v: status %d, body %q, reads %d", route, written, status, body,
+					reader.saw("POST /v1/chat/completions b"))
+			}
+		}
+	}
+}
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -19,3 +19,21 @@
 		}
 	})
 }
+
+// HoldAt calls f whenever a goroutine passes a point. It is called before Start.
+func (n *Node) HoldAt(f func(Point)) { n.hold = f }
+
+// Queued is how many events wait for the owner.
+func (n *Node) Queued() int {
+	n.in.mu.Lock()
+	defer n.in.mu.Unlock()
+	return len(n.in.items)
+}
+
+// Block keeps the owner at one event until the returned function is called.
+func (n *Node) Block() (release func()) {
+	reached, free := make(chan struct{}), make(chan struct{})
+	n.in.put(0, func() { close(reached); <-free })
+	<-reached
+	return func() { close(free) }
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -1,11 +1,12 @@
 package edge
 
 import (
-	"net"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/lesismal/nbio"
 
@@ -14,63 +15,181 @@
 	"sandcourse/node"
 )
 
-// client is one connection of a client: the poller's part, and the socket that the core sees.
+// client is one connection of a client. Its poller reads and parses requests, the owner answers them and
+// decides when the connection closes. The two run side by side, so a close and a request may cross: see
+// TryClose.
 type client struct {
-	nb      *nbio.Conn
-	core    *node.Client
+	node *Node
+	conn *nbio.Conn
+	core *node.Client
+
+	mu      sync.Mutex // held while bytes are read and parsed, and while the owner decides on a close
 	cutter  *framing.Cutter
-	request *http.Request
+	request *http.Request // whose body is being read
 	body    []byte
-	refused atomic.Bool  // nothing more is read
-	queued  atomic.Int64 // bytes handed to the socket
-	flushed atomic.Int64 // bytes that the kernel took
+	pending int  // messages handed to the owner that it has not taken yet
+	closed  bool // the owner has decided to close; nothing is read any more
+
+	discards atomic.Bool  // what still comes in is read and dropped
+	gone     atomic.Bool  // the connection has ended
+	queued   atomic.Int64 // bytes handed to the socket
+	flushed  atomic.Int64 // bytes that the kernel took
+}
+
+// event is work for the owner, and its weight in the inbox.
+type event struct {
+	weight int
+	run    func()
 }
 
 // Send hands bytes to the socket. A client that does not read is closed by the socket's bound.
 func (c *client) Send(data []byte) error {
 	c.queued.Add(int64(len(data)))
-	_, err := c.nb.Write(data)
+	_, err := c.conn.Write(data)
 	return err
 }
 
+// Drained is node.ClientSocket's.
 func (c *client) Drained() bool { return c.flushed.Load() >= c.queued.Load() }
 
-func (c *client) StopReading() { c.refused.Store(true) }
+// StopReading is node.ClientSocket's.
+func (c *client) StopReading() { c.discards.Store(true) }
 
-func (c *client) Close() { c.nb.Close() }
+// Gone is node.ClientSocket's.
+func (c *client) Gone() bool { return c.gone.Load() }
+
+// Close is node.ClientSocket's.
+func (c *client) Close() { c.conn.Close() }
+
+// TryClose closes the connection unless a request that its client sent has been read, whole or in part, and is
+// not answered yet. It is called by the owner between requests. Reading and this decision exclude each other, so
+// a request is either read and answered, or never read: then its client sees the close and asks elsewhere.
+func (c *client) TryClose() bool {
+	events, ok := c.decideClose()
+	for _, e := range events {
+		c.node.in.put(0, e.run) // weight 0: the owner must not wait for itself
+	}
+	if !ok {
+		return false
+	}
+	c.node.pass(CloseDecided)
+	c.conn.Close()
+	return true
+}
+
+func (c *client) decideClose() (events []event, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.discards.Load() || c.gone.Load() {
+		c.closed = true
+		return nil, true
+	}
+	if c.pending > 0 || !c.cutter.Between() {
+		return nil, false
+	}
+	// What waits in the kernel is served: a close over unread bytes would reset the connection.
+	buffer := readBuffers.Get().(*[]byte)
+	defer readBuffers.Put(buffer)
+	if size, _ := c.conn.Read(*buffer); size > 0 {
+		return c.parse((*buffer)[:size]), false
+	}
+	c.closed = true
+	return nil, true
+}
 
-func (n *Node) frontOpened(nb *nbio.Conn) {
-	c := &client{nb: nb, cutter: framing.New(framing.Requests, framing.Bounds{Head: n.d.Head, Body: n.d.Body})}
+func (n *Node) frontOpened(conn *nbio.Conn) {
+	c := &client{node: n, conn: conn,
+		cutter: framing.New(framing.Requests, framing.Bounds{Head: n.d.Head, Body: n.d.Body})}
 	c.core = &node.Client{ID: n.ids.Add(1), Socket: c}
-	nb.SetSession(c)
+	conn.SetSession(c)
 	n.room.come()
 	n.connOpened()
 	n.in.put(0, func() { n.core.ClientOpened(c.core) })
 }
 
-func (n *Node) frontClosed(nb *nbio.Conn, _ error) {
+func (n *Node) frontClosed(conn *nbio.Conn, _ error) {
 	n.connUsed()
-	if c, ok := nb.Session().(*client); ok {
+	if c, ok := conn.Session().(*client); ok {
+		c.gone.Store(true)
 		n.room.leave()
 		n.in.put(0, func() { n.core.ClientGone(c.core) })
 	}
 }
 
-func (n *Node) frontWrote(nb *nbio.Conn, _ []byte, size int) {
+func (n *Node) frontWrote(conn *nbio.Conn, _ []byte, size int) {
 	n.connUsed()
-	if c, ok := nb.Session().(*client); ok {
+	if c, ok := conn.Session().(*client); ok {
 		c.flushed.Add(int64(size))
 	}
 }
 
-// frontData runs on the connection's poller: it reads messages and calls, the owner only hears of whole ones,
-// and of the start of others so that their time runs.
-func (n *Node) frontData(nb *nbio.Conn, data []byte) {
+// readBuffers are shared by the pollers: a connection needs one only while it is read.
+var readBuffers = sync.Pool{New: func() any { b := make([]byte, readSize); return &b }}
+
+const (
+	readSize = 16 << 10
+	// readsAtOnce bounds how long one connection keeps its poller from the others. It covers the longest request.
+	readsAtOnce = 20
+)
+
+// frontReadable runs on the connection's poller when there is something to read.
+func (n *Node) frontReadable(conn *nbio.Conn) {
 	n.connUsed()
-	c, ok := nb.Session().(*client)
-	if !ok || c.refused.Load() {
+	c, ok := conn.Session().(*client)
+	if !ok {
 		return
 	}
+	n.pass(Readable)
+	buffer := readBuffers.Get().(*[]byte)
+	defer readBuffers.Put(buffer)
+	for range readsAtOnce {
+		events, more, err := c.read(*buffer)
+		if len(events) > 0 {
+			n.pass(RequestRead)
+		}
+		for _, e := range events {
+			n.in.put(e.weight, e.run)
+		}
+		if err != nil {
+			conn.Close()
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+// errEnd says that the other side sends nothing more.
+var errEnd = errors.New("the connection has ended")
+
+// read takes bytes once. More says that there may be further ones.
+func (c *client) read(buffer []byte) (events []event, more bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, false, nil
+	}
+	size, err := c.conn.Read(buffer)
+	switch {
+	case errors.Is(err, syscall.EINTR):
+		return nil, true, nil
+	case errors.Is(err, syscall.EAGAIN):
+		return nil, false, nil
+	case err != nil:
+		return nil, false, err
+	case size == 0:
+		return nil, false, errEnd
+	}
+	return c.parse(buffer[:size]), size == len(buffer), nil
+}
+
+// parse makes what was read into work for the owner, who hears of whole requests only, and of the start of others
+// so that their time runs. The caller holds mu.
+func (c *client) parse(data []byte) (events []event) {
+	if c.discards.Load() {
+		return nil
+	}
+	n := c.node
 	fresh := c.cutter.Between()
 	pieces, err := c.cutter.Feed(data)
 	heads := 0
@@ -80,31 +199,43 @@
 			c.request, c.body = p.Request, c.body[:0:0]
 			heads++
 			if strings.EqualFold(p.Request.Header.Get("Expect"), "100-continue") {
-				n.in.put(1, func() { c.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) })
+				events = append(events, event{1, func() { c.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) }})
 			}
 		case framing.Body:
 			c.body = append(c.body, p.Data...)
 		case framing.End:
 			a := n.readCall(c.request, c.body)
 			c.request, c.body, heads = nil, nil, 0
-			n.in.put(1+a.Bytes, func() { n.core.Ask(c.core, a) })
+			events = append(events, c.message(a.Bytes, func() { n.core.Ask(c.core, a) }))
 		}
 	}
 	if err != nil {
-		c.refused.Store(true)
-		n.in.put(1, func() { n.core.RefuseMessage(c.core, err) })
-		return
+		c.discards.Store(true)
+		return append(events, c.message(0, func() { n.core.RefuseMessage(c.core, err) }))
 	}
 	if c.cutter.Between() {
-		return
+		return events
 	}
 	input, held := limits.HeadBegan, len(c.body)+c.cutter.Held()
 	if heads > 0 || c.request != nil {
 		input = limits.HeadWhole
 	}
 	if fresh || heads > 0 || c.request != nil {
-		n.in.put(1, func() { n.core.Reading(c.core, input, held) })
+		events = append(events, event{1, func() { n.core.Reading(c.core, input, held) }})
 	}
+	return events
+}
+
+// message is work that answers something the client sent. Until the owner takes it the connection must not be
+// closed. The caller holds mu.
+func (c *client) message(bytes int, run func()) event {
+	c.pending++
+	return event{1 + bytes, func() {
+		c.mu.Lock()
+		c.pending--
+		c.mu.Unlock()
+		run()
+	}}
 }
 
 func (n *Node) readCall(r *http.Request, body []byte) *node.Asked {
@@ -112,59 +243,3 @@
 	a.Call, a.Party, a.Wrong = n.speaks.Parse(r, body)
 	return a
 }
-
-// room counts clients' connections where they are accepted: a crowd that connects at once must not take the
-// node's descriptors before its owner has seen the first of it. Past the bound they wait in the kernel's
-// queue.
-type room struct {
-	mu     sync.Mutex
-	freed  *sync.Cond
-	open   int
-	bound  int
-	closed bool
-}
-
-func newRoom(bound int) *room {
-	r := &room{bound: bound}
-	r.freed = sync.NewCond(&r.mu)
-	return r
-}
-
-func (r *room) come() {
-	r.mu.Lock()
-	r.open++
-	r.mu.Unlock()
-}
-
-func (r *room) leave() {
-	r.mu.Lock()
-	r.open--
-	r.mu.Unlock()
-	r.freed.Broadcast()
-}
-
-func (r *room) wait() {
-	r.mu.Lock()
-	for r.open >= r.bound && !r.closed {
-		r.freed.Wait()
-	}
-	r.mu.Unlock()
-}
-
-func (r *room) close() {
-	r.mu.Lock()
-	r.closed = true
-	r.mu.Unlock()
-	r.freed.Broadcast()
-}
-
-// roomy is a listener that accepts while there is room.
-type roomy struct {
-	net.Listener
-	room *room
-}
-
-func (l roomy) Accept() (net.Conn, error) {
-	l.room.wait()
-	return l.Listener.Accept()
-}
--- a/edge/node.go
+++ b/edge/node.go
@@ -60,6 +60,7 @@
 	done   chan struct{}
 	over   sync.WaitGroup
 	fail   func(brain.Input) // a test's panic inside the module
+	hold   func(Point)       // a test's stop at a point; set before Start
 	counts map[string]*planwire.RouteCount
 }
 
@@ -136,14 +137,14 @@
 	}
 	addr := n.chat.Addr().String()
 	n.front = nbio.NewEngine(nbio.Config{Name: "front", Network: "tcp", Addrs: []string{addr}, NPoller: pollers,
-		ReadBufferSize: 16 << 10, MaxWriteBufferSize: n.d.ClientBuffer,
-		Listen: func(string, string) (net.Listener, error) { return roomy{n.chat, n.room}, nil }})
+		MaxWriteBufferSize: n.d.ClientBuffer,
+		Listen:             func(string, string) (net.Listener, error) { return boundedListener{n.chat, n.room}, nil }})
 	n.front.OnOpen(n.frontOpened)
 	n.front.OnClose(n.frontClosed)
-	n.front.OnData(n.frontData)
+	n.front.OnRead(n.frontReadable)
 	n.front.OnWrittenSize(n.frontWrote)
 	n.back = nbio.NewEngine(nbio.Config{Name: "back", NPoller: pollers, ReadBufferSize: 32 << 10,
-		MaxWriteBufferSize: 2 * n.d.Body})
+		MaxWriteBufferSize: 2 * n.d.Body, MaxConnReadTimesPerEventLoop: readsAtOnce})
 	n.back.OnClose(n.backClosed)
 	n.back.OnData(n.backData)
 	n.back.OnWrittenSize(n.backWrote)
@@ -165,7 +166,10 @@
 		context.AfterFunc(ctx, func() { server.Close() })
 	}
 	n.over.Go(func() { n.loop() })
-	take := func(list roster.List) { n.in.put(0, func() { n.core.TakeList(list) }) }
+	take := func(list roster.List) {
+		n.pass(ListRead)
+		n.in.putUrgent(func() { n.core.TakeList(list) })
+	}
 	if n.source != nil {
 		n.over.Go(func() {
 			n.source.Run(ctx, take, func(err error) { n.log.Warn("roster", zap.Error(err)) })
@@ -198,6 +202,10 @@
 	}
 }
 
+// turnEvery is how long answers and timers may wait while a full inbox is worked through. Events of a stream have
+// 0.3 s to reach the client in all.
+const turnEvery = int64(5 * time.Millisecond)
+
 // loop is the one goroutine that owns the core.
 func (n *Node) loop() {
 	wake := time.NewTimer(0)
@@ -214,9 +222,22 @@
 		}
 		n.core.Begin(n.clock())
 		row = n.in.take(row)
+		turned := n.clock()
 		for _, event := range row {
+			now := n.clock()
+			if now-turned >= turnEvery {
+				n.core.Turn(now)
+				turned = now
+			}
+			n.core.Begin(now)
+			for _, urgent := range n.in.takeUrgent() {
+				urgent()
+			}
 			event()
 		}
+		for _, urgent := range n.in.takeUrgent() {
+			urgent()
+		}
 		n.core.Turn(n.clock())
 		// Gauges are read every few seconds: they need not be set at every event.
 		if now := n.clock(); now-seen >= int64(100*time.Millisecond) {
@@ -254,7 +275,9 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
-	if err != nil {
+	if err == nil {
+		n.closeClients(ctx)
+	} else {
 		finished := make(chan struct{})
 		n.in.put(0, func() {
 			defer close(finished)
@@ -272,6 +295,35 @@
 	return err
 }
 
+// closeTime is how long a node that has answered everything waits for clients that have sent a part of a request,
+// or do not read their answers, before it ends. The kill comes 0.7 s after the longest wait of a client.
+const closeTime = time.Second
+
+// closeClients accepts nobody new and closes all connections, each between two requests: one that has been read
+// already is answered first.
+func (n *Node) closeClients(ctx context.Context) {
+	n.chat.Close()
+	ctx, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
+	for {
+		busy := make(chan int, 1)
+		n.in.put(0, func() { busy <- n.core.CloseClients() })
+		select {
+		case count := <-busy:
+			if count == 0 {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
 // Stop ends the node at once: what it holds is lost to it, as when it is killed.
 func (n *Node) Stop() {
 	n.cancel()
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -27,6 +27,26 @@
 	seen  []string // method, path and the name of all requests
 	reply func(n int, r *http.Request) (wire string, hangUp bool)
 	once  bool // what comes second on a connection resets it
+	// behind follows each answer to an inference some milliseconds later.
+	behind string
+	ends   string // the connection ends without an answer at this name's first request
+	conns  map[net.Conn]bool
+}
+
+// endOn makes the connection end without an answer when a name is first asked for.
+func (b *box) endOn(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ends = name
+}
+
+// endAll ends all connections.
+func (b *box) endAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		c.Close()
+	}
 }
 
 const (
@@ -49,7 +69,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	b := &box{addr: l.Addr().String(), reply: reply}
+	b := &box{addr: l.Addr().String(), reply: reply, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -64,6 +84,9 @@
 
 func (b *box) serve(c net.Conn) {
 	defer c.Close()
+	b.mu.Lock()
+	b.conns[c] = true
+	b.mu.Unlock()
 	in := bufio.NewReader(c)
 	for nth := 0; ; nth++ {
 		r, err := http.ReadRequest(in)
@@ -74,7 +97,14 @@
 		b.mu.Lock()
 		b.seen = append(b.seen, r.Method+" "+r.URL.Path+" "+r.Header.Get("Request-Id"))
 		n := len(b.seen)
+		end := b.ends != "" && b.ends == r.Header.Get("Request-Id")
+		if end {
+			b.ends = ""
+		}
 		b.mu.Unlock()
+		if end {
+			return
+		}
 		wire, hangUp := "HTTP/1.1 204 No Content\r\n\r\n", false
 		if r.Method == http.MethodPost {
 			wire, hangUp = b.reply(n, r)
@@ -82,6 +112,9 @@
 			wire = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nTEXT x0=0.1, x1=0.0\n"
 		}
 		io.WriteString(c, wire)
+		if r.Method == http.MethodPost && b.behind != "" {
+			time.AfterFunc(3*time.Millisecond, func() { io.WriteString(c, b.behind) })
+		}
 		if hangUp {
 			return
 		}
@@ -116,6 +149,14 @@
 
 // onPlatform is a node on the platform with one reader and one writer.
 func onPlatform(t *testing.T, sockets int, alter func(*settings.Deployment), reader, writer *box) *edge.Node {
+	t.Helper()
+	n := newOnPlatform(t, sockets, alter, reader, writer)
+	startReady(t, n)
+	return n
+}
+
+// newOnPlatform is such a node before its start.
+func newOnPlatform(t *testing.T, sockets int, alter func(*settings.Deployment), reader, writer *box) *edge.Node {
 	told, err := platform.ReadTold("test", fmt.Appendf(nil, platformTold, sockets))
 	if err != nil {
 		t.Fatal(err)
@@ -128,10 +169,14 @@
 	if alter != nil {
 		alter(d)
 	}
-	n := edge.NewOn(d, zap.NewNop(), listed{
+	return edge.NewOn(d, zap.NewNop(), listed{
 		{Engine: "s-1", Host: reader.addr, Kind: "m1", Zone: "a", Weight: 1, State: roster.Ready},
 		{Engine: "s-2", Host: writer.addr, Kind: "m2", Zone: "a", Weight: 1, State: roster.Ready}},
 		1, platform.New(told.Reports()))
+}
+
+func startReady(t *testing.T, n *edge.Node) {
+	t.Helper()
 	if err := n.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +184,7 @@
 		if r, err := http.Get("http://" + n.Addr() + "/_health"); err == nil {
 			r.Body.Close()
 			if r.StatusCode == http.StatusOK {
-				return n
+				return
 			}
 		}
 		if time.Now().After(end) {
--- a/lab/edge.go
+++ b/lab/edge.go
@@ -407,10 +407,12 @@
 	return nil
 }
 
-// Drained, StopReading and Close are node.ClientSocket's.
-func (k *client) Drained() bool { return true }
-func (k *client) StopReading()  {}
-func (k *client) Close()        {}
+// Drained, StopReading, Gone, TryClose and Close are node.ClientSocket's.
+func (k *client) Drained() bool  { return true }
+func (k *client) StopReading()   {}
+func (k *client) Gone() bool     { return false }
+func (k *client) TryClose() bool { return true }
+func (k *client) Close()         {}
 
 func (w *world) first(a *ask) {
 	w.firsts = append(w.firsts, w.now-a.at)
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -98,24 +98,32 @@
 }
 
 // Open takes a new connection. At the bound the one that has been idle longest makes room; where all are at
-// work the new one is refused.
-func (g *Gate) Open(id, now int64) (evict int64, ok bool) {
-	if len(g.conns) >= g.bounds.Conns {
-		var oldest *conn
-		for _, c := range g.conns {
-			if c.state == Idle && (oldest == nil || cmp.Or(cmp.Compare(c.since, oldest.since),
-				cmp.Compare(c.id, oldest.id)) < 0) {
-				oldest = c
-			}
+// work the new one is refused. TryClose closes an idle one, or says that a request is on its way on it.
+func (g *Gate) Open(id, now int64, tryClose func(id int64) bool) bool {
+	if len(g.conns) >= g.bounds.Conns && !g.makeRoom(now, tryClose) {
+		return false
+	}
+	g.conns[id] = &conn{id: id, since: now, begun: now}
+	return true
+}
+
+func (g *Gate) makeRoom(now int64, tryClose func(id int64) bool) bool {
+	var idle []*conn
+	for _, c := range g.conns {
+		if c.state == Idle {
+			idle = append(idle, c)
 		}
-		if oldest == nil {
-			return 0, false
+	}
+	slices.SortFunc(idle, func(a, b *conn) int {
+		return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.id, b.id))
+	})
+	for _, c := range idle {
+		if tryClose(c.id) {
+			g.Happen(c.id, Closed, now)
+			return true
 		}
-		evict = oldest.id
-		g.Happen(evict, Closed, now)
 	}
-	g.conns[id] = &conn{id: id, since: now, begun: now}
-	return evict, true
+	return false
 }
 
 // Happen takes an input for one connection. What fits no line of the table changes nothing.
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -22,16 +22,20 @@
 		}
 		var open []taken
 		live := map[int64]int{}
+		reading := map[int64]bool{} // a request is on its way, so it may not be closed
 		now := int64(0)
 		for id := int64(1); id < 80; id++ {
 			now += rapid.Int64Range(0, 8).Draw(t, "time")
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0:
-				evict, ok := g.Open(id, now)
-				if evict != 0 {
+				if g.Open(id, now, func(evict int64) bool {
+					if reading[evict] {
+						return false
+					}
 					delete(live, evict)
-				}
-				if ok {
+					return true
+				}) {
+					reading[id] = rapid.Bool().Draw(t, "reading")
 					live[id] = 0
 				}
 			case 1:
@@ -91,8 +95,8 @@
 
 func TestOneThatFloodsLeavesRoomForOthers(t *testing.T) {
 	g := New(bounds(10, 100, 1))
-	g.Open(1, 0)
-	g.Open(2, 0)
+	g.Open(1, 0, yield)
+	g.Open(2, 0, yield)
 	flood := 0
 	for g.Admit(1, "flood") == Taken {
 		flood++
@@ -113,8 +117,8 @@
 
 func TestTimesAndBytes(t *testing.T) {
 	g := New(bounds(2, 1, 100))
-	g.Open(1, 0)
-	g.Open(2, 0)
+	g.Open(1, 0, yield)
+	g.Open(2, 0, yield)
 	g.Happen(1, HeadBegan, 1)
 	for now := int64(2); now < 11; now++ {
 		g.Happen(1, HeadBegan, now) // trickling bytes do not renew the time
@@ -141,7 +145,7 @@
 	b.FirstTime = 12
 	g := New(b)
 	for id := int64(1); id <= 3; id++ {
-		g.Open(id, 1)
+		g.Open(id, 1, yield)
 	}
 	g.Happen(2, HeadBegan, 9) // late, and then slow
 	g.Happen(3, CallWhole, 2)
@@ -153,3 +157,6 @@
 		t.Errorf("%+v", due)
 	}
 }
+
+// yield lets an idle connection make room.
+func yield(int64) bool { return true }
--- a/node/clients.go
+++ b/node/clients.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"sandcourse/dialect"
@@ -16,10 +18,7 @@
 
 // ClientOpened takes a new connection of a client.
 func (o *Core) ClientOpened(c *Client) {
-	evict, ok := o.gate.Open(c.ID, o.now)
-	if evict != 0 {
-		o.closeClient(o.clients[evict])
-	}
+	ok := o.gate.Open(c.ID, o.now, func(id int64) bool { return o.tryClose(o.clients[id]) })
 	o.clients[c.ID] = c
 	if !ok {
 		o.watch.Refused("connections")
@@ -35,6 +34,31 @@
 	}
 }
 
+// tryClose closes a connection between two requests, once its last answer is with the kernel.
+func (o *Core) tryClose(c *Client) bool {
+	if c == nil || c.gone {
+		return true
+	}
+	o.flush(c)
+	return c.Socket.Drained() && c.Socket.TryClose()
+}
+
+// CloseClients closes each connection on which nothing is under way, and returns how many others there are.
+func (o *Core) CloseClients() (busy int) {
+	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
+		c := o.clients[id]
+		switch {
+		case c.parting:
+			if !c.Socket.Drained() {
+				busy++
+			}
+		case c.serving || !o.tryClose(c):
+			busy++
+		}
+	}
+	return busy
+}
+
 // ClientGone says that a connection of a client has ended.
 func (o *Core) ClientGone(c *Client) {
 	if c.gone {
@@ -147,11 +171,6 @@
 		o.gate.Hold(c.ID, -a.Bytes)
 	}
 	c.serving, c.current = false, nil
-	if o.gone && o.d.Linger > 0 && len(c.waiting) == 0 {
-		// What its client writes meanwhile is not read, so the client asks elsewhere as soon as this one is closed.
-		c.cut = true
-		keep = false
-	}
 	if !keep || c.parting {
 		o.part(c)
 		return
--- a/node/core.go
+++ b/node/core.go
@@ -175,14 +175,7 @@
 	o.sweepLines()
 	o.closeParting()
 	for _, due := range o.gate.Due(o.now) {
-		o.watch.Refused("slow or idle")
-		c := o.clients[due.ID]
-		if c != nil && (due.State == limits.Heading || due.State == limits.Bodying) {
-			o.reply(c, nil, o.speaks.Refusal(http.StatusRequestTimeout, "too_slow", "",
-				"the request did not come in time"))
-			continue
-		}
-		o.closeClient(c)
+		o.endOverdue(o.clients[due.ID], due.State)
 	}
 	for _, id := range o.ids() {
 		inf := o.infs[id]
@@ -201,6 +194,22 @@
 	}
 }
 
+// endOverdue ends a connection whose time in its state is up.
+func (o *Core) endOverdue(c *Client, state limits.State) {
+	switch state {
+	case limits.Idle:
+		if !o.tryClose(c) {
+			return // a request has come in this moment
+		}
+	case limits.Heading, limits.Bodying:
+		o.reply(c, nil, o.speaks.Refusal(http.StatusRequestTimeout, "too_slow", "",
+			"the request did not come in time"))
+	default:
+		o.closeClient(c)
+	}
+	o.watch.Refused("slow or idle")
+}
+
 func (o *Core) ids() []int64 {
 	ids := make([]int64, 0, len(o.infs))
 	for id := range o.infs {
@@ -397,6 +406,9 @@
 	}
 	s := &send{inf: inf, n: len(inf.sends), engine: e.Engine, writes: !o.reads(e.Engine, inf), at: o.now}
 	inf.sends = append(inf.sends, s)
+	if inf.client.Socket.Gone() {
+		o.ClientGone(inf.client)
+	}
 	// The gate of rule 1: nothing goes out for what has its final answer.
 	if inf.final != "" {
 		o.happen(s, attempt.NoLine, "it has its final answer")
@@ -469,8 +481,13 @@
 	inf := s.inf
 	// The kernel may have taken the rest of a request since the last event; a send that is withdrawn or breaks
 	// then may have run, though its machine still thinks that a part of it is here.
-	if l := s.line; l != nil && l.send == s && l.socket != nil && s.machine.State == attempt.Writing && l.socket.Written() {
-		o.took |= 1 << s.machine.Happen(attempt.Written).Row
+	if l := s.line; l != nil && l.send == s && l.socket != nil && s.machine.State == attempt.Writing {
+		if in == attempt.WithdrawnBy {
+			l.socket.Close() // before the look: nothing more can leave behind it
+		}
+		if l.socket.Written() {
+			o.took |= 1 << s.machine.Happen(attempt.Written).Row
+		}
 	}
 	r := s.machine.Happen(in)
 	o.took |= 1 << r.Row
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -49,12 +49,19 @@
 func (s *socket) Close()                     { s.shut = true }
 
 // screen is a connection of a client.
-type screen struct{ bytes.Buffer }
+type screen struct {
+	bytes.Buffer
+	reading bool // a request is on its way to the core
+	gone    bool // it has ended, and the core has not been told
+	shut    bool
+}
 
 func (s *screen) Send(data []byte) error { s.Write(data); return nil }
 func (s *screen) Drained() bool          { return true }
 func (s *screen) StopReading()           {}
-func (s *screen) Close()                 {}
+func (s *screen) Close()                 { s.shut = true }
+func (s *screen) Gone() bool             { return s.gone }
+func (s *screen) TryClose() bool         { s.shut = s.shut || !s.reading; return s.shut }
 
 const told = `{"name":"n0","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":1024},
  "settings":{"areas":["a"],"zone":0,"index":0,"peers_total":1,"tick_us":4000,"flavors":["m1","m2"],"ceilings":{
--- a/node/leave.go
+++ b/node/leave.go
@@ -15,18 +15,21 @@
 // clients that are sent away find nobody. It does harm where others serve and are not heard: then it only
 // leaves later.
 func (o *Core) leave() {
-	since := o.now - o.stopAt
-	if !o.stopping || o.gone || o.d.Linger > 0 && since < int64(o.d.Stay) && o.now-o.heardAt > near {
+	stays := o.d.Linger > 0 && o.now-o.stopAt < int64(o.d.Stay) && o.now-o.heardAt > near
+	if !o.stopping || !o.gone && stays {
 		return
 	}
 	o.gone = true
-	if o.d.Linger == 0 {
-		return
-	}
 	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
-		if c := o.clients[id]; o.gate.Quiet(id) {
-			o.closeClient(c)
-		}
+		o.leaveClient(o.clients[id])
+	}
+}
+
+// leaveClient closes the connection of a client that is to go elsewhere, if nothing is under way on it. One on
+// which a request is on its way gets its answer first, and is tried again behind it.
+func (o *Core) leaveClient(c *Client) {
+	if o.gone && o.d.Linger > 0 && o.gate.Quiet(c.ID) {
+		o.tryClose(c)
 	}
 }
 
--- a/node/lines.go
+++ b/node/lines.go
@@ -114,6 +114,10 @@
 // while the line was dialled.
 func (o *Core) writeLine(l *Line) {
 	if s := l.send; s != nil {
+		if s.inf.client.Socket.Gone() {
+			o.ClientGone(s.inf.client)
+			return
+		}
 		if !attempt.MayWrite(o.now, o.told[l.Engine], int64(o.d.Rules.DrainGrace)) {
 			o.happen(s, attempt.Barred, "its engine drains or is gone")
 			return
--- a/node/node.go
+++ b/node/node.go
@@ -24,7 +24,10 @@
 type ClientSocket interface {
 	Send(data []byte) error
 	Drained() bool // all that was sent is with the kernel
-	StopReading()
+	StopReading()  // what still comes in is dropped
+	Gone() bool    // it has ended, though the core may not have been told yet
+	// TryClose closes it unless a request has been read that the core has not answered, in whole or in part.
+	TryClose() bool
 	Close()
 }
 
@@ -119,6 +122,7 @@
 	for _, c := range o.dirty {
 		c.dirty = false
 		o.flush(c)
+		o.leaveClient(c)
 	}
 	o.dirty = o.dirty[:0]
 }
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -333,9 +333,11 @@
 	c.read()
 	return nil
 }
-func (c *simClient) Drained() bool { return true }
-func (c *simClient) StopReading()  {}
-func (c *simClient) Close()        {}
+func (c *simClient) Drained() bool  { return true }
+func (c *simClient) StopReading()   {}
+func (c *simClient) Gone() bool     { return c.gone }
+func (c *simClient) TryClose() bool { return true }
+func (c *simClient) Close()         {}
 
 // read counts the final answers in what a client has got.
 func (c *simClient) read() {
