Connections that carried a stream settle before they are used again

An older test meant to cover this sent a chunk of a wrong size, so it was garbled and never taken; it now sends one that fits.

Ruled out: telling such an answer by its form, as it is a whole answer of the same engine.

What else was idle, or a new one, is taken meanwhile.

--- a/conns/conns.go
+++ b/conns/conns.go
@@ -32,6 +32,7 @@
 	DialFailed              // it will not be
 	Taken                   // idle, and now carries something
 	Released                // its answer was read to the end, nothing unread is left
+	Streamed                // the same, and the answer was a stream
 	Spoiled                 // what it carried ended in any other way
 	Broken                  // it is gone
 	Aged                    // idle for longer than is allowed
@@ -59,6 +60,7 @@
 	{[]State{Dialling}, DialFailed, Closed, CloseIt},
 	{[]State{Idle}, Taken, Busy, None},
 	{[]State{Busy}, Released, Idle, None},
+	{[]State{Busy}, Streamed, Idle, None},
 	{[]State{Idle}, Aged, Closed, CloseIt},
 	{[]State{Dialling, Busy}, Spoiled, Closed, CloseIt},
 	// A byte on an idle connection belongs to nothing that was asked: an unread rest.
@@ -72,6 +74,7 @@
 	Dials     int   // dials under way at one engine: a herd of handshakes is work for it
 	All       int   // connections to all engines together; 0 for any
 	IdleNs    int64 // an idle one is closed after this
+	SettleNs  int64 // one that carried a stream is not used again for this long
 }
 
 type conn struct {
@@ -79,6 +82,7 @@
 	engine string
 	state  State
 	since  int64
+	settle int64 // until when it is not used again
 }
 
 // Pool is the state of all connections of one node.
@@ -107,7 +111,8 @@
 
 // Take finds a connection for a send. An idle one is used only if it has been idle for less than atMost: the
 // longer one lies, the likelier the other side closes it just as it is written to, and then the send may have
-// run. The youngest goes first, so that the others can age.
+// run. The youngest goes first, so that the others can age. One that has just carried a stream settles first: a second
+// answer that comes late behind the first would else be taken for the next request's.
 //
 // Spare lines are had past the engine's bounds by what must not wait behind sends: letting go of a state.
 func (p *Pool) Take(engine string, now, atMost int64, spare int) (l Lease) {
@@ -119,7 +124,7 @@
 			dials++
 		case c.state != Idle:
 		default:
-			if youngest == nil || c.since > youngest.since {
+			if now >= c.settle && (youngest == nil || c.since > youngest.since) {
 				youngest = c
 			}
 			if oldest == nil || c.since < oldest.since {
@@ -211,6 +216,9 @@
 		p.Hasty(c.engine, now)
 	}
 	c.state, c.since = table[i].next, now
+	if in == Streamed {
+		c.settle = now + p.bounds.SettleNs
+	}
 	p.took |= 1 << i
 	if c.state == Closed {
 		delete(p.conns, id)
--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -41,10 +41,10 @@
 				if effect == CloseIt && p.State(id) != Closed {
 					t.Fatal("told to close what lives on")
 				}
-				if before != Idle && p.State(id) == Idle && in != Released {
+				if before != Idle && p.State(id) == Idle && in != Released && in != Streamed {
 					t.Fatalf("idle by %v", in)
 				}
-				if in == Released && p.State(id) == Idle {
+				if (in == Released || in == Streamed) && p.State(id) == Idle {
 					carries[id] = false
 				}
 				spoiled[id] = spoiled[id] || in == Spoiled || in == Broken
@@ -77,6 +77,23 @@
 	}
 }
 
+// A connection that carried a stream is not used again until it has settled, also where another has to be dialled for
+// it; one that carried anything else is.
+func TestStreamsSettle(t *testing.T) {
+	for _, in := range []Input{Released, Streamed} {
+		p := New(Bounds{PerEngine: 3, Dials: 3, IdleNs: 1000, SettleNs: 20})
+		first := p.Take("a", 0, 1000, 0)
+		p.Happen(first.ID, Dialled, 1)
+		p.Happen(first.ID, in, 5)
+		if l := p.Take("a", 24, 1000, 0); !l.OK || l.Reused != (in == Released) || l.Evict != 0 {
+			t.Errorf("input %d: %+v", in, l)
+		}
+		if l := p.Take("a", 25, 1000, 0); in == Streamed && l.ID != first.ID {
+			t.Errorf("settled, and not used again: %+v", l)
+		}
+	}
+}
+
 // Past the bound of all, what lies idle longest at any engine makes room, and what is busy never does.
 func TestBoundOfAll(t *testing.T) {
 	p := New(Bounds{PerEngine: 9, Dials: 9, All: 2, IdleNs: 1000})
--- a/edge/crossing_test.go
+++ b/edge/crossing_test.go
@@ -271,8 +271,11 @@
 // again at once would take it for the next request's.
 func TestSecondAnswerSomeMillisecondsLate(t *testing.T) {
 	reader := newBox(t, "127.0.0.2", always(heldWire))
-	writer := newBox(t, "127.0.0.3", always(wholeStream))
-	writer.behind = strings.ReplaceAll(wholeStream, "[1]", "[99]")
+	writer := newBox(t, "127.0.0.3", func(int, *http.Request) (string, bool) {
+		time.Sleep(6 * time.Millisecond) // it works for longer than the second answer is late
+		return wholeStream, false
+	})
+	writer.behind = strings.ReplaceAll(wholeStream, "[1]", "[9]")
 	n := onPlatform(t, 1024, nil, reader, writer)
 	defer n.Stop()
 	client := dial(t, n)
--- a/edge/front.go
+++ b/edge/front.go
@@ -31,7 +31,6 @@
 	closed  bool // the owner has decided to close; nothing is read any more
 
 	discards atomic.Bool  // what still comes in is read and dropped
-	gone     atomic.Bool  // the connection has ended
 	queued   atomic.Int64 // bytes handed to the socket
 	flushed  atomic.Int64 // bytes that the kernel took
 }
@@ -55,8 +54,12 @@
 // StopReading is node.ClientSocket's.
 func (c *client) StopReading() { c.discards.Store(true) }
 
-// Gone is node.ClientSocket's.
-func (c *client) Gone() bool { return c.gone.Load() }
+// Gone is node.ClientSocket's. The socket library marks a connection as closed at once and tells of it later, from a
+// goroutine of its own.
+func (c *client) Gone() bool {
+	closed, _ := c.conn.IsClosed()
+	return closed
+}
 
 // Close is node.ClientSocket's.
 func (c *client) Close() { c.conn.Close() }
@@ -80,7 +83,7 @@
 func (c *client) decideClose() (events []event, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.discards.Load() || c.gone.Load() {
+	if c.closed || c.discards.Load() || c.Gone() {
 		c.closed = true
 		return nil, true
 	}
@@ -110,7 +113,6 @@
 func (n *Node) frontClosed(conn *nbio.Conn, _ error) {
 	n.connUsed()
 	if c, ok := conn.Session().(*client); ok {
-		c.gone.Store(true)
 		n.room.leave()
 		n.in.put(0, func() { n.core.ClientGone(c.core) })
 	}
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -240,7 +240,7 @@
 // answer directly behind must not be taken for the next inference's.
 func TestPlatformMoreThanAnAnswer(t *testing.T) {
 	reader := newBox(t, "127.0.0.2", always("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"+heldWire))
-	strange := strings.ReplaceAll(wholeStream, "[1]", "[99]")
+	strange := strings.ReplaceAll(wholeStream, "[1]", "[9]")
 	writer := newBox(t, "127.0.0.3", always("HTTP/1.1 102 Processing\r\n\r\n"+wholeStream+strange))
 	n := onPlatform(t, 1024, nil, reader, writer)
 	defer n.Stop()
--- a/node/core.go
+++ b/node/core.go
@@ -142,7 +142,7 @@
 	watch Watch) *Core {
 	o := &Core{d: d, speaks: speaks, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
-			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle)}),
+			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
 		errands: map[*errand]bool{}, infs: map[int64]*open{}}
 	o.brain = brain.New(seed, d.Facts())
--- a/node/lines.go
+++ b/node/lines.go
@@ -142,6 +142,7 @@
 
 // LineHead takes the head of an answer, with the relay of its stream if it is one.
 func (o *Core) LineHead(l *Line, head *http.Response, tokens Relay) {
+	l.streamed = tokens != nil
 	switch {
 	case l.send != nil:
 		s := l.send
@@ -221,7 +222,11 @@
 		o.spoil(l)
 		return
 	}
-	if o.pool.Happen(l.ID, conns.Released, o.now) == conns.CloseIt {
+	in := conns.Released
+	if l.streamed {
+		in = conns.Streamed
+	}
+	if o.pool.Happen(l.ID, in, o.now) == conns.CloseIt {
 		o.closeLine(l.ID)
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,6 +38,7 @@
 	DialTime         time.Duration
 	Idle, IdleUnsafe time.Duration // how long an idle one is used again; for what must not run twice
 	All              int           // to all engines together; 0 for any
+	Settle           time.Duration // how long one that carried a stream is not used again
 }
 
 // Rules are the figures of the five rules and what goes with them.
