A new connection waits until its poller has forgotten the descriptor's last one

Seen in a test with real sockets, both events forced: a poller of nbio holds a row of events, the owner closes an idle connection whose end is one of them, the next connection gets the descriptor, and the stale end closes the new one. A request that was read on it would be lost. nbio's poller looks connections up by descriptor (readWriteLoop), so an event of the old one is taken for the new one's.

Ruled out: closing on the poller only, as nbio also closes where a write fails; and holding descriptors back, as its dial and accept take the lowest free one.

Before a connection is made known to its poller, a pipe that the poller waits on is written; the second event of the pipe belongs to a row taken after that. A node pays a write, a read and two wake-ups a connection. The side of engines reads with the same loop as that of clients.

The test fails with the wait taken out.

--- a/edge/back.go
+++ b/edge/back.go
@@ -94,13 +94,42 @@
 	}
 }
 
-// backData runs on the connection's poller: it cuts answers and streams.
-func (n *Node) backData(nb *nbio.Conn, data []byte) {
+func (n *Node) backOpened(conn *nbio.Conn) {
+	if _, ok := conn.Session().(*sentinel); !ok {
+		n.backBarrier.wait(conn)
+	}
+}
+
+// backReadable runs on the connection's poller when there is something to read.
+func (n *Node) backReadable(conn *nbio.Conn) {
 	n.connUsed()
-	l, ok := nb.Session().(*link)
+	if s, ok := conn.Session().(*sentinel); ok {
+		s.event()
+		return
+	}
+	l, ok := conn.Session().(*link)
 	if !ok {
 		return
 	}
+	buffer := readBuffers.Get().(*[]byte)
+	defer readBuffers.Put(buffer)
+	for range readsAtOnce {
+		size, err := readOnce(conn, *buffer)
+		if size > 0 {
+			n.backData(l, (*buffer)[:size])
+		}
+		if err != nil {
+			conn.Close()
+			return
+		}
+		if size < len(*buffer) {
+			return
+		}
+	}
+}
+
+// backData cuts answers and streams.
+func (n *Node) backData(l *link, data []byte) {
 	pieces, err := l.cutter.Feed(data)
 	n.pass(AnswerRead)
 	for i, p := range pieces {
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -37,3 +37,16 @@
 	<-reached
 	return func() { close(free) }
 }
+
+// OnePoller makes one goroutine wait on all sockets of a side. It is called before Start.
+func (n *Node) OnePoller() { n.pollers = 1 }
+
+// HeldBack is how many connections of clients wait until their poller may hear of them.
+func (n *Node) HeldBack() (count int) {
+	for _, s := range n.frontBarrier.pollers {
+		s.mu.Lock()
+		count += len(s.coming) + len(s.seen)
+		s.mu.Unlock()
+	}
+	return count
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -93,7 +93,7 @@
 	// What waits in the kernel is served: a close over unread bytes would reset the connection.
 	buffer := readBuffers.Get().(*[]byte)
 	defer readBuffers.Put(buffer)
-	if size, _ := c.conn.Read(*buffer); size > 0 {
+	if size, _ := readOnce(c.conn, *buffer); size > 0 {
 		return c.parse((*buffer)[:size]), false
 	}
 	c.closed = true
@@ -101,6 +101,10 @@
 }
 
 func (n *Node) frontOpened(conn *nbio.Conn) {
+	if _, ok := conn.Session().(*sentinel); ok {
+		return
+	}
+	n.frontBarrier.wait(conn)
 	c := &client{node: n, conn: conn,
 		cutter: framing.New(framing.Requests, framing.Bounds{Head: n.d.Head, Body: n.d.Body})}
 	c.core = &node.Client{ID: n.ids.Add(1), Socket: c}
@@ -137,6 +141,10 @@
 // frontReadable runs on the connection's poller when there is something to read.
 func (n *Node) frontReadable(conn *nbio.Conn) {
 	n.connUsed()
+	if s, ok := conn.Session().(*sentinel); ok {
+		s.event()
+		return
+	}
 	c, ok := conn.Session().(*client)
 	if !ok {
 		return
@@ -171,18 +179,25 @@
 	if c.closed {
 		return nil, false, nil
 	}
-	size, err := c.conn.Read(buffer)
+	size, err := readOnce(c.conn, buffer)
+	if size > 0 {
+		events = c.parse(buffer[:size])
+	}
+	return events, size == len(buffer), err
+}
+
+// readOnce takes what is there, which may be nothing.
+func readOnce(conn *nbio.Conn, buffer []byte) (size int, err error) {
+	size, err = conn.Read(buffer)
 	switch {
-	case errors.Is(err, syscall.EINTR):
-		return nil, true, nil
-	case errors.Is(err, syscall.EAGAIN):
-		return nil, false, nil
+	case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.EAGAIN):
+		return 0, nil // the poller tells again of what is unread
 	case err != nil:
-		return nil, false, err
+		return 0, err
 	case size == 0:
-		return nil, false, errEnd
+		return 0, errEnd
 	}
-	return c.parse(buffer[:size]), size == len(buffer), nil
+	return size, nil
 }
 
 // parse makes what was read into work for the owner, who hears of whole requests only, and of the start of others
--- a/edge/node.go
+++ b/edge/node.go
@@ -49,11 +49,14 @@
 	speaks  dialect.Dialect
 	peers   *peers // nil where nodes tell one another nothing
 	room    *room  // for clients' connections
-	front   *nbio.Engine
-	back    *nbio.Engine
-	chat    net.Listener
-	pages   net.Listener
-	metrics *meters
+	pollers int    // of each side
+	// See barrier: descriptors of each side are used again.
+	frontBarrier, backBarrier barrier
+	front                     *nbio.Engine
+	back                      *nbio.Engine
+	chat                      net.Listener
+	pages                     net.Listener
+	metrics                   *meters
 
 	alive  context.Context // until Stop
 	cancel context.CancelFunc
@@ -77,7 +80,8 @@
 func NewOn(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64,
 	speaks dialect.Dialect) *Node {
 	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(d.Inbox),
-		started: time.Now(), done: make(chan struct{}), speaks: speaks, room: newRoom(d.Limits.Conns + 16)}
+		started: time.Now(), done: make(chan struct{}), speaks: speaks, room: newRoom(d.Limits.Conns + 16),
+		pollers: defaultPollers}
 	n.epoch = n.started.UnixMilli()
 	n.alive, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMeters()
@@ -125,8 +129,8 @@
 // clock is Unix nanoseconds that never go back: the start's wall time and what has passed since.
 func (n *Node) clock() int64 { return n.started.UnixNano() + int64(time.Since(n.started)) }
 
-// pollers is how many goroutines wait on sockets, on each side. Their number does not grow with connections.
-const pollers = 2
+// defaultPollers is how many goroutines wait on sockets, on each side. Their number does not grow with connections.
+const defaultPollers = 2
 
 // Start listens and runs until Stop.
 func (n *Node) Start() error {
@@ -136,22 +140,28 @@
 		return fmt.Errorf("listen for chat calls on %s: %w", n.d.Chat, err)
 	}
 	addr := n.chat.Addr().String()
-	n.front = nbio.NewEngine(nbio.Config{Name: "front", Network: "tcp", Addrs: []string{addr}, NPoller: pollers,
+	n.front = nbio.NewEngine(nbio.Config{Name: "front", Network: "tcp", Addrs: []string{addr}, NPoller: n.pollers,
 		MaxWriteBufferSize: n.d.ClientBuffer,
 		Listen:             func(string, string) (net.Listener, error) { return boundedListener{n.chat, n.room}, nil }})
 	n.front.OnOpen(n.frontOpened)
 	n.front.OnClose(n.frontClosed)
 	n.front.OnRead(n.frontReadable)
 	n.front.OnWrittenSize(n.frontWrote)
-	n.back = nbio.NewEngine(nbio.Config{Name: "back", NPoller: pollers, ReadBufferSize: 32 << 10,
-		MaxWriteBufferSize: 2 * n.d.Body, MaxConnReadTimesPerEventLoop: readsAtOnce})
+	n.back = nbio.NewEngine(nbio.Config{Name: "back", NPoller: n.pollers,
+		MaxWriteBufferSize: 2 * n.d.Body})
+	n.back.OnOpen(n.backOpened)
 	n.back.OnClose(n.backClosed)
-	n.back.OnData(n.backData)
+	n.back.OnRead(n.backReadable)
 	n.back.OnWrittenSize(n.backWrote)
 	if err := n.back.Start(); err != nil {
 		n.chat.Close()
 		return fmt.Errorf("start the side of engines: %w", err)
 	}
+	if err := n.backBarrier.start(n, n.back); err != nil {
+		n.chat.Close()
+		n.back.Stop()
+		return err
+	}
 	ctx := n.alive
 	if n.d.Metrics != "" {
 		if n.pages, err = net.Listen("tcp", n.d.Metrics); err != nil {
@@ -181,6 +191,10 @@
 		n.Stop()
 		return fmt.Errorf("start the side of clients: %w", err)
 	}
+	if err := n.frontBarrier.start(n, n.front); err != nil {
+		n.Stop()
+		return err
+	}
 	n.log.Info("serving", zap.String("chat", addr), zap.String("metrics", n.d.Metrics))
 	return nil
 }
@@ -338,6 +352,8 @@
 	n.over.Wait()
 	n.front.Stop()
 	n.back.Stop()
+	n.frontBarrier.close()
+	n.backBarrier.close()
 }
 
 // connOpened and connUsed order what is written of a connection when it opens before what its poller reads of
