--- a/edge/barrier.go
+++ b/edge/barrier.go
@@ -6,9 +6,9 @@
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 // barrier holds back a new connection until its poller has forgotten the descriptor's last one.
@@ -23,37 +23,33 @@
 	stopping <-chan struct{}
 }
 
-// sentinel is a pipe that its poller waits on like on any connection. Bytes in it stand for those who wait.
+// sentinel is an event descriptor (eventfd) that its poller waits on like on any connection. It is readable while
+// somebody waits.
 type sentinel struct {
 	mu     sync.Mutex
-	read   *nbio.Conn
-	write  *os.File
+	conn   *nbio.Conn
 	coming []chan struct{} // they came since the last event
 	seen   []chan struct{} // they were there at the last event, so the next one is of a later row
 }
 
-// pipeAddr tells a sentinel from a connection when it is opened.
-type pipeAddr struct{}
+// eventConn is an event descriptor in the form that the socket library takes over.
+type eventConn struct{ *os.File }
 
-func (pipeAddr) Network() string { return "pipe" }
-func (pipeAddr) String() string  { return "sentinel" }
+// eventAddr is an event descriptor's address, as it needs one.
+type eventAddr struct{}
 
-// pipeConn is the reading end of a pipe in the form that the socket library takes over.
-type pipeConn struct{ *os.File }
-
-func (pipeConn) LocalAddr() net.Addr                { return pipeAddr{} }
-func (pipeConn) RemoteAddr() net.Addr               { return pipeAddr{} }
-func (p pipeConn) SetDeadline(t time.Time) error    { return p.File.SetDeadline(t) }
-func (p pipeConn) SetReadDeadline(time.Time) error  { return nil }
-func (p pipeConn) SetWriteDeadline(time.Time) error { return nil }
+func (eventAddr) Network() string      { return "eventfd" }
+func (eventAddr) String() string       { return "sentinel" }
+func (eventConn) LocalAddr() net.Addr  { return eventAddr{} }
+func (eventConn) RemoteAddr() net.Addr { return eventAddr{} }
 
 // start gives each poller of a running engine its sentinel.
 func (b *barrier) start(n *Node, engine *nbio.Engine) error {
 	row := make([]*sentinel, n.pollers)
-	var spare []*os.File // pipes whose poller has one; their descriptors must not be tried again
+	var spare []*sentinel // whose poller has one; their descriptors must not be given out again at once
 	defer func() {
-		for _, file := range spare {
-			file.Close()
+		for _, s := range spare {
+			s.close()
 		}
 	}()
 	for found := 0; found < n.pollers; {
@@ -61,17 +57,17 @@
 		if err != nil {
 			return err
 		}
-		place := s.read.Hash() % n.pollers
+		place := s.conn.Hash() % n.pollers
 		if row[place] != nil {
-			spare = append(spare, s.write, os.NewFile(uintptr(s.read.Hash()), "spare"))
+			spare = append(spare, s)
 			continue
 		}
 		row[place] = s
 		found++
-		s.read.SetSession(s)
+		s.conn.SetSession(s)
 		n.connOpened()
-		if _, err := engine.AddConn(s.read); err != nil {
-			return fmt.Errorf("watch a pipe: %w", err)
+		if _, err := engine.AddConn(s.conn); err != nil {
+			return fmt.Errorf("watch an event descriptor: %w", err)
 		}
 	}
 	b.mu.Lock()
@@ -81,26 +77,26 @@
 }
 
 func newSentinel() (*sentinel, error) {
-	r, w, err := os.Pipe()
+	counter, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
 	if err != nil {
-		return nil, fmt.Errorf("make a pipe: %w", err)
+		return nil, fmt.Errorf("make an event descriptor: %w", err)
 	}
-	read, err := nbio.NBConn(pipeConn{r})
+	conn, err := nbio.NBConn(eventConn{os.NewFile(uintptr(counter), "event descriptor")})
 	if err != nil {
-		w.Close()
-		return nil, fmt.Errorf("hand over a pipe: %w", err)
+		return nil, fmt.Errorf("hand over an event descriptor: %w", err)
 	}
-	return &sentinel{read: read, write: w}, nil
+	return &sentinel{conn: conn}, nil
 }
 
 // close ends all sentinels, once their pollers have stopped.
 func (b *barrier) close() {
 	for _, s := range b.pollers {
-		s.write.Close()
-		os.NewFile(uintptr(s.read.Hash()), "sentinel").Close()
+		s.close()
 	}
 }
 
+func (s *sentinel) close() { syscall.Close(s.conn.Hash()) }
+
 // wait returns once the poller of a connection that has just come up holds no event from before.
 func (b *barrier) wait(conn *nbio.Conn) {
 	b.mu.Lock()
@@ -121,8 +117,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.coming)+len(s.seen) == 0 {
-		if _, err := s.write.Write([]byte{0}); err != nil {
-			close(done) // the node is stopping
+		if err := s.raise(); err != nil {
+			close(done) // the node has stopped
 			return done
 		}
 	}
@@ -130,7 +126,7 @@
 	return done
 }
 
-// event runs on the poller. The pipe stays readable, so that another event follows, while somebody waits.
+// event runs on the poller. The descriptor stays readable, so that another event follows, while somebody waits.
 func (s *sentinel) event() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,12 +135,19 @@
 	}
 	s.seen, s.coming = s.coming, nil
 	if len(s.seen) == 0 {
-		s.drain()
+		s.lower()
 	}
 }
 
-// drain takes the one byte out of the pipe.
-func (s *sentinel) drain() {
-	var buffer [8]byte
-	syscall.Read(s.read.Hash(), buffer[:]) // it is there: the poller has told so, and nobody else reads
+// raise makes the descriptor readable.
+func (s *sentinel) raise() error {
+	one := [8]byte{1}
+	_, err := syscall.Write(s.conn.Hash(), one[:])
+	return err
+}
+
+// lower makes it unreadable. The read cannot fail: the poller has told that it is readable, and nobody else reads.
+func (s *sentinel) lower() {
+	var count [8]byte
+	syscall.Read(s.conn.Hash(), count[:])
 }
