States of readers that hang are let go of by way of another engine

Ruled out: a release that was never asked for (the module discards with the final answer), and the node's own end, which was not near. The protocol says that a release counts at any running engine, for whatever is held at any engine.

Change: from the second try on a release goes to the listed engine that answered last, where the dialect says that any will do.

--- a/dialect/dialect.go
+++ b/dialect/dialect.go
@@ -81,6 +81,8 @@
 	Write(c *Call, name string, to Engine, from State, left time.Duration) ([]byte, error)
 	Probe(to Engine) []byte
 	Release(to Engine, name string, send int) []byte
+	// ReleasesAnywhere is whether any engine that is asked to release lets go of what others hold, too.
+	ReleasesAnywhere() bool
 	// Sort says what an answer's head means for a send.
 	Sort(head *http.Response, writes bool) attempt.Input
 	// Held reads a reader's whole answer: what it holds, and how many tokens it had kept.
--- a/node/core.go
+++ b/node/core.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -40,10 +41,12 @@
 	list   *roster.List
 	told   attempt.Told
 	listed []string // all engines ever listed
-	names  names    // of inferences, where clients give them
-	gate   *limits.Gate
-	again  *limits.Retries
-	pool   *conns.Pool
+	// answeredAt is when an engine's last answer began.
+	answeredAt map[string]int64
+	names      names // of inferences, where clients give them
+	gate       *limits.Gate
+	again      *limits.Retries
+	pool       *conns.Pool
 
 	clients  map[int64]*Client
 	partings map[int64]int64
@@ -144,7 +147,7 @@
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
-		errands: map[*errand]bool{}, infs: map[int64]*open{}}
+		errands: map[*errand]bool{}, infs: map[int64]*open{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
@@ -698,6 +701,10 @@
 		}
 		return gone
 	})
+	maps.DeleteFunc(o.answeredAt, func(engine string, at int64) bool {
+		_, listed := ready[engine]
+		return !listed && o.now-at > departed
+	})
 	o.list = &list
 	o.watch.Listed(list.Revision, len(news.Engines), unknown)
 	o.tell(news)
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -252,3 +252,36 @@
 		}
 	}
 }
+
+// full answers a writer's send: it never ran.
+func (b *bench) full(s *socket) {
+	b.core.Begin(b.now)
+	b.core.LineHead(s.line, &http.Response{Status: "503", StatusCode: 503, Header: http.Header{"Not-Started": {"1"}}}, nil)
+	b.core.LineEnd(s.line, nil, true)
+	b.core.Turn(b.now)
+}
+
+// Found on settings of our own, rolling restarts under engines that hang: a state was held past the pin limit, as its
+// reader hung and was told six times to let go of it. Any engine takes that word, so one that answers is told too.
+func TestStateOfAReaderThatHangsIsReleasedElsewhere(t *testing.T) {
+	b := newBench(t)
+	c, _ := b.ask("a1", "alert")
+	b.held(b.connect())
+	b.full(b.connect())
+	b.core.Begin(b.now)
+	b.core.ClientGone(c)
+	b.core.Turn(b.now)
+	for range 700 { // well under the pin limit of a second
+		b.pass(time.Millisecond)
+		for len(b.dials) > 0 {
+			b.connect()
+		}
+	}
+	told := map[string]int{}
+	for _, s := range b.lines {
+		told[s.line.Engine] += strings.Count(s.wrote.String(), "DELETE /v1/holds/a1 ")
+	}
+	if told["r"] == 0 || told["w"] == 0 {
+		t.Errorf("told to let go: %v", told)
+	}
+}
--- a/node/lines.go
+++ b/node/lines.go
@@ -13,6 +13,7 @@
 // errand is what is asked of an engine beside sends: a probe, or to let go of a state.
 type errand struct {
 	engine string
+	via    string // whom it was last asked of: the engine, or another that can do it as well
 	name   string // of the inference to let go of; empty for a probe
 	send   int    // whose state that is
 	at     int64
@@ -60,7 +61,7 @@
 	// on a new one.
 	if s != nil {
 		atMost = o.pool.Trust(engineID, o.now, atMost, !s.writes || o.d.Routes[s.inf.route].Effect == "retriable")
-	} else if e.tries%2 == 0 {
+	} else if e.tries%2 == 0 && e.via == e.engine {
 		atMost = 0
 	}
 	lease := o.pool.Take(engineID, o.now, atMost, spare)
@@ -142,7 +143,8 @@
 
 // LineHead takes the head of an answer, with the relay of its stream if it is one.
 func (o *Core) LineHead(l *Line, head *http.Response, tokens Relay) {
-	l.streamed = tokens != nil
+	l.streamed = l.send != nil && l.send.writes
+	o.answeredAt[l.Engine] = o.now
 	switch {
 	case l.send != nil:
 		s := l.send
@@ -291,11 +293,30 @@
 	e.at, e.head = o.now, nil
 	e.tries++
 	o.errands[e] = true
-	if !o.carry(e.engine, nil, e, int64(o.d.Lines.Idle)) {
+	e.via = e.engine
+	if e.name != "" && e.tries > 1 && o.speaks.ReleasesAnywhere() {
+		e.via = o.lastHeard(e.engine)
+	}
+	if !o.carry(e.via, nil, e, int64(o.d.Lines.Idle)) {
 		o.errandDone(e, nil, nil)
 	}
 }
 
+// lastHeard is the engine of the list that answered last, other than one that did not; that one where no other ever
+// answered.
+func (o *Core) lastHeard(but string) string {
+	found, at := but, int64(0)
+	if o.list == nil {
+		return found
+	}
+	for _, e := range o.list.Engines {
+		if heard := o.answeredAt[e.Engine]; e.Engine != but && heard > at {
+			found, at = e.Engine, heard
+		}
+	}
+	return found
+}
+
 func (o *Core) errandDone(e *errand, head *http.Response, body []byte) {
 	if !o.errands[e] {
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 	errand    *errand    // or this
 	restSince int64      // what it carried is over, but not read to its end, since then
 	again     bool       // it has carried something before
-	streamed  bool       // its last answer is a stream
+	streamed  bool       // its last answer is a stream, as writers give
 	wroteAt   int64      // when its last request was written
 	dialAt    int64
 }
