--- a/node/core.go
+++ b/node/core.go
@@ -92,6 +92,7 @@
 	engine    string
 	writes    bool
 	at        int64
+	wroteAt   int64 // when its request was written; 0 while it is not
 	machine   attempt.Send
 	line      *Line
 	heads     int
@@ -427,6 +428,16 @@
 	}
 }
 
+// mayRepeat is whether all earlier sends of an inference that may have run are still known to engines, where that is
+// what keeps a further one from happening twice.
+func (o *Core) mayRepeat(s *send) bool {
+	route := o.d.Routes[s.inf.route]
+	return route.Effect != "deduped" || !s.writes || !slices.ContainsFunc(s.inf.sends, func(before *send) bool {
+		mayHaveRun := before.writes && before.wroteAt > 0 && !(before.ended && attempt.NeverRan(before.verdict))
+		return before != s && mayHaveRun && !attempt.MayRepeat(o.now, before.wroteAt, int64(route.DedupWindow))
+	})
+}
+
 // request is what a line is to carry. It is made as it is written: what it says of the client's time must not
 // count the time that the line took to come up.
 func (o *Core) request(l *Line) ([]byte, error) {
--- a/node/lines.go
+++ b/node/lines.go
@@ -123,6 +123,10 @@
 			o.happen(s, attempt.Barred, "its engine drains or is gone")
 			return
 		}
+		if !o.mayRepeat(s) {
+			o.happen(s, attempt.Barred, "an earlier send may have run, and is not known any more")
+			return
+		}
 	}
 	request, err := o.request(l)
 	if err != nil && l.send != nil {
@@ -131,6 +135,7 @@
 	}
 	if l.send != nil {
 		o.took |= 1 << l.send.machine.Happen(attempt.Connected).Row
+		l.send.wroteAt = o.now
 	}
 	l.wroteAt = o.now
 	if err := l.socket.Write(request); err != nil {
--- a/settings/facts.go
+++ b/settings/facts.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sandcourse/brain"
 	"sandcourse/roster"
 )
@@ -46,12 +48,6 @@
 // News turns a list into what the module hears. Entries of a kind that the settings do not name are returned
 // by id: they can't be sent to.
 func (d *Deployment) News(list roster.List) (news brain.EngineNews, unknown []string) {
-	zones, cells := d.zones(), []string{}
-	for _, e := range list.Engines {
-		zones, cells = append(zones, e.Zone), append(cells, e.Zone+"/"+e.Cell)
-	}
-	slices.Sort(cells)
-	cells = slices.Compact(cells)
 	news.Whole = true
 	for _, e := range list.Engines {
 		kind := slices.IndexFunc(d.Kinds, func(k EngineKind) bool { return k.Name == e.Kind })
@@ -60,14 +56,25 @@
 			continue
 		}
 		news.Engines = append(news.Engines, brain.EngineEntry{Engine: e.Engine, Weight: e.Weight, Kind: kind,
-			Zone: number(zones, e.Zone), Cell: number(cells, e.Zone+"/"+e.Cell), UpSince: e.UpSince * 1e6,
+			Zone: d.zoneNumber(e.Zone), Cell: placeNumber(e.Zone + "/" + e.Cell), UpSince: e.UpSince * 1e6,
 			Ready: e.State == roster.Ready, Drains: e.State == roster.Draining})
 	}
 	return news, unknown
 }
 
-// zones starts with those that have given numbers, or with the node's own, which so keeps its number whatever
-// a list says.
+// zoneNumber is the zone's place in the settings, or a number of its own.
+func (d *Deployment) zoneNumber(zone string) int {
+	if i := slices.Index(d.zones(), zone); i >= 0 {
+		return i
+	}
+	return placeNumber(zone)
+}
+
+// placeNumber is the same for a name in every list. Were places counted list by list, an engine that has left would
+// keep the number that now is another place's, and a repeat could go to a cell that knows nothing of the first try.
+func placeNumber(name string) int { return int(xxhash.Sum64String(name) >> 1) }
+
+// zones are those that have given numbers, or the node's own.
 func (d *Deployment) zones() []string {
 	if len(d.Zones) > 0 {
 		return slices.Clone(d.Zones)
