--- a/edge/crossing_test.go
+++ b/edge/crossing_test.go
@@ -334,3 +334,50 @@
 		}
 	}
 }
+
+// An engine resets at any moment of an attempt. The client gets one answer, which is not whole where the stream was not,
+// and what must not run twice reaches no engine whole a second time after it may have run.
+func TestPlatformResets(t *testing.T) {
+	firstEvent := streamHead + event(`{"choices":[1]}`)
+	for _, at := range []struct {
+		name, wire string
+		status     int
+		whole      bool
+	}{
+		{"behind the request", "", http.StatusBadGateway, true},
+		{"within the head", "HTTP/1.1 200 OK\r\nContent-", http.StatusBadGateway, true},
+		{"behind the head", streamHead, http.StatusBadGateway, true},
+		{"within the stream", firstEvent, 200, false},
+		{"behind the last event", strings.TrimSuffix(wholeStream, "0\r\n\r\n"), 200, false},
+		{"behind the last chunk", wholeStream, 200, true},
+	} {
+		writer := newBox(t, "127.0.0.3", func(int, *http.Request) (string, bool) { return at.wire, true })
+		n := onPlatform(t, 1024, nil, newBox(t, "127.0.0.2", always(heldWire)), writer)
+		status, body, err := call(t, n, "a", "alert")
+		if status != at.status || (err == nil) != at.whole || writer.saw("POST") != 1 {
+			t.Errorf("%s: status %d, body %q, %v, %d attempts", at.name, status, body, err, writer.saw("POST"))
+		}
+		n.Stop()
+	}
+	// Right after it accepts: the engine never reads a request, so however often it is asked nothing has run.
+	listener, err := net.Listen("tcp", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	n := onPlatform(t, 1024, nil, newBox(t, "127.0.0.2", always(heldWire)), &box{addr: listener.Addr().String()})
+	defer n.Stop()
+	if status, body, err := call(t, n, "b", "alert"); err != nil || status < 400 {
+		t.Errorf("right after it accepts: status %d, body %q, %v", status, body, err)
+	}
+}
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -165,7 +165,7 @@
 // newNode is one node of a world, by its number.
 func newNode(w World, me int, tell bool) *sim {
 	s := &sim{w: w, d: w.deployment(), now: int64(1000 * time.Second), toldAt: map[string]int64{}, tell: tell,
-		asks: map[int]int{}, node: me, apart: w.Nodes > 1}
+		asks: map[int]int{}, node: me, apart: w.Nodes > 1 || w.Crowd}
 	s.d.Me = me
 	if s.apart {
 		s.d.Node = fmt.Sprint("n", me)
--- a/prove/worlds.go
+++ b/prove/worlds.go
@@ -57,6 +57,7 @@
 		Writers: 4, Effects: []string{}, Nodes: 300, Crowd: true},
 	{Name: "crowd-30", About: "30 nodes, as above", Readers: 3, Writers: 3, Effects: []string{}, Nodes: 30, Crowd: true},
 	{Name: "crowd-3", About: "three nodes, as above", Readers: 3, Writers: 3, Effects: []string{}, Nodes: 3, Crowd: true},
+	{Name: "crowd-1", About: "one node, as above", Readers: 3, Writers: 3, Effects: []string{}, Nodes: 1, Crowd: true},
 }
 
 // Find is a world by name.
