A node does not end between two tries to let go of a state; metrics and logs in files of their own

What is told to lost reads later is not waited for.

Connections of the socket library are named alike on both sides.

--- a/edge/back.go
+++ b/edge/back.go
@@ -24,7 +24,7 @@
 type link struct {
 	n       *Node
 	core    *node.Line
-	nb      *nbio.Conn
+	conn    *nbio.Conn
 	cutter  *framing.Cutter
 	events  *chat.Decoder // of the stream under way; nil where the answer is whole
 	body    []byte
@@ -39,7 +39,7 @@
 	l.n.pass(AttemptChosen)
 	l.written.Store(0)
 	l.toWrite = int64(len(request))
-	_, err := l.nb.Write(request)
+	_, err := l.conn.Write(request)
 	if err != nil { // it may have closed before its session was set
 		l.n.in.put(0, func() { l.n.core.LineBroken(l.core) })
 	}
@@ -48,7 +48,7 @@
 
 func (l *link) Written() bool { return l.written.Load() >= l.toWrite }
 
-func (l *link) Close() { l.nb.Close() }
+func (l *link) Close() { l.conn.Close() }
 
 // Dial connects a line, within the settings' time. The socket library's own dial takes an IPv4 address for
 // 0.0.0.0, which reaches nothing but 127.0.0.1, and tells a refused connection as one that is there; so the
@@ -57,22 +57,22 @@
 	failed := func(err error) { n.in.put(0, func() { n.core.LineDialled(core, nil, err) }) }
 	n.over.Go(func() {
 		dialer := net.Dialer{Timeout: n.d.Lines.DialTime}
-		conn, err := dialer.DialContext(n.alive, "tcp", core.Host)
-		var nb *nbio.Conn
+		dialled, err := dialer.DialContext(n.alive, "tcp", core.Host)
+		var conn *nbio.Conn
 		if err == nil {
-			if nb, err = nbio.NBConn(conn); err != nil {
-				conn.Close()
+			if conn, err = nbio.NBConn(dialled); err != nil {
+				dialled.Close()
 			}
 		}
 		if err != nil {
 			failed(err)
 			return
 		}
-		l := &link{n: n, core: core, nb: nb,
+		l := &link{n: n, core: core, conn: conn,
 			cutter: framing.New(framing.Answers, framing.Bounds{Head: answerHead, Body: answerBody})}
-		nb.SetSession(l)
+		conn.SetSession(l)
 		n.connOpened()
-		if _, err = n.back.AddConn(nb); err != nil {
+		if _, err = n.back.AddConn(conn); err != nil {
 			failed(err)
 			return
 		}
@@ -80,16 +80,16 @@
 	})
 }
 
-func (n *Node) backClosed(nb *nbio.Conn, _ error) {
+func (n *Node) backClosed(conn *nbio.Conn, _ error) {
 	n.connUsed()
-	if l, ok := nb.Session().(*link); ok {
+	if l, ok := conn.Session().(*link); ok {
 		n.in.put(0, func() { n.core.LineBroken(l.core) })
 	}
 }
 
-func (n *Node) backWrote(nb *nbio.Conn, _ []byte, size int) {
+func (n *Node) backWrote(conn *nbio.Conn, _ []byte, size int) {
 	n.connUsed()
-	if l, ok := nb.Session().(*link); ok {
+	if l, ok := conn.Session().(*link); ok {
 		l.written.Add(int64(size))
 	}
 }
--- /dev/null
+++ b/edge/watch.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"sandcourse/brain"
+	"sandcourse/node"
+)
+
+// watch writes what the core tells to the log and to the metrics.
+type watch struct{ n *Node }
+
+func (w watch) Around(in brain.Input, step func()) {
+	begun := time.Now()
+	defer func() { w.n.metrics.module.Add(time.Since(begun).Seconds()) }()
+	if w.n.fail != nil {
+		w.n.fail(in)
+	}
+	step()
+}
+
+func (w watch) ModuleFailed(p any, in brain.Input, stack []byte) {
+	w.n.metrics.panics.Inc()
+	w.n.log.Error("module failed", zap.Any("panic", p), zap.String("input", fmt.Sprintf("%T", in)),
+		zap.ByteString("stack", stack))
+}
+
+func (w watch) Final(f node.Final) {
+	w.n.metrics.finals.WithLabelValues(f.Route, f.Final).Inc()
+	c := w.n.count(f.Route)
+	c.Arrived++
+	c.Prompt += float64(f.Prompt)
+	if f.First > 0 {
+		c.Ended++
+		c.Answer += float64(f.Tokens)
+	}
+	if f.Final == "shed" {
+		c.Shed++
+	}
+	fields := []zap.Field{zap.String("inference", f.Inference), zap.String("route", f.Route),
+		zap.String("session", sessionHash(f.Session)), zap.Strings("sends", f.Sends), zap.Duration("took", f.Took),
+		zap.Int("prompt", f.Prompt)}
+	if f.First > 0 {
+		fields = append(fields, zap.Duration("first_token", f.First))
+	}
+	if f.Why != "" {
+		fields = append(fields, zap.String("why", f.Why))
+	}
+	w.n.log.Info(f.Final, fields...)
+}
+
+func (w watch) Shed(route string, prompt int) {
+	w.n.metrics.finals.WithLabelValues(route, "shed").Inc()
+	c := w.n.count(route)
+	c.Arrived, c.Prompt, c.Shed = c.Arrived+1, c.Prompt+float64(prompt), c.Shed+1
+}
+
+func (w watch) First(route string, after time.Duration, prompt int) {
+	w.n.metrics.firsts.WithLabelValues(route).Observe(after.Seconds())
+	c := w.n.count(route)
+	c.Began++
+	c.BegunFor += float64(prompt)
+	if t := w.n.d.Routes[w.n.d.Route(route)]; after <= t.FirstToken+time.Duration(float64(t.PerTokns)*float64(prompt)/1000) {
+		c.InTime++
+	}
+}
+
+func (w watch) Refused(why string) { w.n.metrics.refused.WithLabelValues(why).Inc() }
+
+func (w watch) Unreleased() { w.n.metrics.unreleased.Inc() }
+
+func (w watch) Listed(revision int64, engines int, unknown []string) {
+	w.n.metrics.engines.Set(float64(engines))
+	w.n.log.Info("roster", zap.Int64("revision", revision), zap.Int("engines", engines))
+	if len(unknown) > 0 {
+		w.n.log.Warn("engines of unknown kinds are left out", zap.Strings("engines", unknown))
+	}
+}
+
+func sessionHash(session string) string {
+	if session == "" {
+		return ""
+	}
+	return fmt.Sprintf("%016x", xxhash.Sum64String(session))
+}
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -311,3 +311,18 @@
 		t.Errorf("told to let go: %v", told)
 	}
 }
+
+// A node must not end between two tries to let go of a state: whoever asks what it holds hears of the second.
+func TestReleaseThatIsTriedAgainIsHeldUntilThen(t *testing.T) {
+	b := newBench(t)
+	c, _ := b.ask("a1", "alert")
+	s := b.connect()
+	b.held(s)
+	b.core.Begin(b.now)
+	b.core.ClientGone(c)
+	b.core.LineBroken(s.line) // the release went out on the connection of the read
+	b.core.Turn(b.now)
+	if n := b.core.Holding().Errands; n != 1 {
+		t.Errorf("%d errands while a release waits for its second try", n)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -160,12 +160,19 @@
 
 // Holding is what a node holds now.
 type Holding struct {
-	Clients, Inferences, Bytes, Lines, Errands int
-	Stays                                      bool // it is told to stop, and takes calls still
+	Clients, Inferences, Bytes, Lines int
+	Errands                           int  // under way, or to be tried again
+	Stays                             bool // it is told to stop, and takes calls still
 }
 
 // Holding counts.
 func (o *Core) Holding() Holding {
 	clients, _, bytes := o.gate.Holding()
-	return Holding{clients, len(o.infs), bytes, len(o.lines), len(o.errands), o.stopping && o.taking()}
+	errands := len(o.errands)
+	for _, t := range o.timers {
+		if t.errand != nil && !t.errand.late {
+			errands++
+		}
+	}
+	return Holding{clients, len(o.infs), bytes, len(o.lines), errands, o.stopping && o.taking()}
 }
