--- a/edge/crossing_test.go
+++ b/edge/crossing_test.go
@@ -93,6 +93,17 @@
 	return r.StatusCode, string(data)
 }
 
+// servedClient has had one answer, so its connection rests.
+func servedClient(t *testing.T, n *edge.Node) *kept {
+	t.Helper()
+	client := dial(t, n)
+	client.send(wire("a", "chat"))
+	if status, _ := client.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	return client
+}
+
 // until waits for what another goroutine or the kernel does.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -138,11 +149,7 @@
 		n := newOnPlatform(t, 1024, leavesAtOnce, reader, newBox(t, "127.0.0.3", always(wholeStream)))
 		s := newStop(n, edge.RequestRead)
 		startReady(t, n)
-		client := dial(t, n)
-		client.send(wire("a", "chat"))
-		if status, _ := client.answer(); status != 200 {
-			t.Fatal(status)
-		}
+		client := servedClient(t, n)
 		s.set.Store(true)
 		text := ""
 		for _, name := range requests {
@@ -174,11 +181,7 @@
 	n := newOnPlatform(t, 1024, leavesAtOnce, reader, newBox(t, "127.0.0.3", always(wholeStream)))
 	s := newStop(n, edge.CloseDecided)
 	startReady(t, n)
-	client := dial(t, n)
-	client.send(wire("a", "chat"))
-	if status, _ := client.answer(); status != 200 {
-		t.Fatal(status)
-	}
+	client := servedClient(t, n)
 	s.set.Store(true)
 	over := drain(n)
 	s.wait(t)
@@ -202,11 +205,7 @@
 func TestStopWithinARequest(t *testing.T) {
 	n := onPlatform(t, 1024, leavesAtOnce, newBox(t, "127.0.0.2", always(heldWire)),
 		newBox(t, "127.0.0.3", always(wholeStream)))
-	client := dial(t, n)
-	client.send(wire("a", "chat"))
-	if status, _ := client.answer(); status != 200 {
-		t.Fatal(status)
-	}
+	client := servedClient(t, n)
 	text := wire("b", "alert")
 	client.send(text[:len(text)-40])
 	until(t, "a part is read", func() bool {
