--- a/edge/crossing_test.go
+++ b/edge/crossing_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sandcourse/edge"
+	"sandcourse/roster"
 	"sandcourse/settings"
 )
 
@@ -266,6 +267,34 @@
 	}
 }
 
+// A reader's answer has been read, the owner has not been told, and the client goes. Nothing is written on, and the
+// state that the answer names is let go of all the same.
+func TestAnswerBehindAClientThatHasGone(t *testing.T) {
+	reader, writer := newBox(t, "127.0.0.2", always(heldWire)), newBox(t, "127.0.0.3", always(wholeStream))
+	n := newOnPlatform(t, 1024, nil, reader, writer)
+	s := newStop(n, edge.AnswerRead)
+	startReady(t, n)
+	defer n.Stop()
+	client := dial(t, n)
+	s.set.Store(true)
+	client.send(wire("a", "alert"))
+	s.wait(t)
+	client.conn.Close()
+	until(t, "the owner knows that the client has gone", func() bool {
+		h, err := n.Look(context.Background())
+		return err == nil && h.Clients == 0
+	})
+	close(s.free)
+	until(t, "the state is let go of", func() bool { return reader.saw("DELETE /v1/holds/a") > 0 })
+	until(t, "the node holds nothing", func() bool {
+		h, err := n.Look(context.Background())
+		return err == nil && h.Inferences == 0 && h.Errands == 0
+	})
+	if reader.saw("POST") != 1 || writer.saw("POST") != 0 {
+		t.Errorf("%d reads, %d writes", reader.saw("POST"), writer.saw("POST"))
+	}
+}
+
 // A second answer some milliseconds behind the first belongs to nothing that was asked. A connection that is used
 // again at once would take it for the next request's.
 func TestSecondAnswerSomeMillisecondsLate(t *testing.T) {
@@ -334,6 +363,62 @@
 	}
 }
 
+// lists is a source that tells what a test hands it.
+type lists chan roster.List
+
+func (l lists) Run(ctx context.Context, take func(roster.List), _ func(error)) {
+	for {
+		select {
+		case list := <-l:
+			take(list)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// A list says that the only reader drains and names another, while a request waits for the owner. Told before the
+// request is taken, the list goes first, though it came later. Read, but not told yet, it holds up nobody: the attempt
+// goes to the reader that drains, which it may within the grace.
+func TestListWithADrainAgainstAnAttempt(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		old, fresh := newBox(t, "127.0.0.2", always(heldWire)), newBox(t, "127.0.0.4", always(heldWire))
+		writer := engineAt("s-2", "m2", newBox(t, "127.0.0.3", always(wholeStream)))
+		source := make(lists, 1)
+		n := newOnSource(t, 1024, nil, source)
+		s := newStop(n, edge.ListRead)
+		source <- roster.List{Revision: 1, Engines: []roster.Entry{engineAt("s-1", "m1", old), writer}}
+		startReady(t, n)
+		client := dial(t, n)
+		drains := engineAt("s-1", "m1", old)
+		drains.State = roster.Draining
+		second := roster.List{Revision: 2, Engines: []roster.Entry{drains, writer, engineAt("s-3", "m1", fresh)}}
+		if told {
+			release := n.Block()
+			before := n.Queued()
+			client.send(wire("a", "alert"))
+			until(t, "the request waits for the owner", func() bool { return n.Queued() > before })
+			source <- second
+			until(t, "the list waits for the owner", n.Urgent)
+			release()
+		} else {
+			s.set.Store(true)
+			source <- second
+			s.wait(t)
+			client.send(wire("a", "alert"))
+			until(t, "the attempt has begun", func() bool { return old.saw("POST") == 1 })
+			close(s.free)
+		}
+		if status, body := client.answer(); status != 200 || body != allEvents {
+			t.Errorf("told %v: status %d, body %q", told, status, body)
+		}
+		n.Stop()
+		if wentToOld := old.saw("POST") == 1; wentToOld == told || old.saw("POST")+fresh.saw("POST") != 1 {
+			t.Errorf("told %v: %d attempts at the reader that drains, %d at the other", told, old.saw("POST"), fresh.saw("POST"))
+		}
+	}
+}
+
 // An engine resets at any moment of an attempt. The client gets one answer, which is not whole where the stream was not,
 // and what must not run twice reaches no engine whole a second time after it may have run.
 func TestPlatformResets(t *testing.T) {
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -30,6 +30,9 @@
 	return len(n.in.items)
 }
 
+// Urgent is whether a list waits for the owner.
+func (n *Node) Urgent() bool { return n.in.hurry.Load() }
+
 // Block keeps the owner at one event until the returned function is called.
 func (n *Node) Block() (release func()) {
 	reached, free := make(chan struct{}), make(chan struct{})
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -157,6 +157,18 @@
 
 // newOnPlatform is such a node before its start.
 func newOnPlatform(t *testing.T, sockets int, alter func(*settings.Deployment), reader, writer *box) *edge.Node {
+	t.Helper()
+	return newOnSource(t, sockets, alter, listed{engineAt("s-1", "m1", reader), engineAt("s-2", "m2", writer)})
+}
+
+// engineAt is an engine that is ready.
+func engineAt(id, kind string, at *box) roster.Entry {
+	return roster.Entry{Engine: id, Host: at.addr, Kind: kind, Zone: "a", Weight: 1, State: roster.Ready}
+}
+
+// newOnSource is a node on the platform that has its engines from a source, before its start.
+func newOnSource(t *testing.T, sockets int, alter func(*settings.Deployment), source roster.Source) *edge.Node {
+	t.Helper()
 	told, err := platform.ReadTold("test", fmt.Appendf(nil, platformTold, sockets))
 	if err != nil {
 		t.Fatal(err)
@@ -169,10 +181,7 @@
 	if alter != nil {
 		alter(d)
 	}
-	return edge.NewOn(d, zap.NewNop(), listed{
-		{Engine: "s-1", Host: reader.addr, Kind: "m1", Zone: "a", Weight: 1, State: roster.Ready},
-		{Engine: "s-2", Host: writer.addr, Kind: "m2", Zone: "a", Weight: 1, State: roster.Ready}},
-		1, platform.New(told.Reports()))
+	return edge.NewOn(d, zap.NewNop(), source, 1, platform.New(told.Reports()))
 }
 
 func startReady(t *testing.T, n *edge.Node) {
