Test cores of node share what no test looks at; a comment says what a cut connection still is

A client's connection is cut only where its answer broke, since a stopping node closes between requests; the comment still named that second case. No behaviour changes: outside of tests only that comment.

--- a/node/core_test.go
+++ b/node/core_test.go
@@ -18,6 +18,7 @@
 
 // bench is a core whose sockets are the test's: it sees each byte that is written and the time of it.
 type bench struct {
+	ignoredEvents
 	t     *testing.T
 	core  *node.Core
 	now   int64
@@ -27,15 +28,19 @@
 }
 
 func (b *bench) Dial(l *node.Line)                             { b.dials = append(b.dials, l) }
-func (b *bench) Tell(int, string)                              {}
 func (b *bench) Around(in brain.Input, step func())            { b.heard = append(b.heard, in); step() }
 func (b *bench) ModuleFailed(p any, _ brain.Input, row []byte) { b.t.Fatalf("%v\n%s", p, row) }
-func (b *bench) Final(node.Final)                              {}
-func (b *bench) Shed(string, int)                              {}
-func (b *bench) First(string, time.Duration, int)              {}
-func (b *bench) Refused(string)                                {}
-func (b *bench) Unreleased()                                   {}
-func (b *bench) Listed(int64, int, []string)                   {}
+
+// ignoredEvents are what a core tells that no test here looks at.
+type ignoredEvents struct{}
+
+func (ignoredEvents) Tell(int, string)                 {}
+func (ignoredEvents) Final(node.Final)                 {}
+func (ignoredEvents) Shed(string, int)                 {}
+func (ignoredEvents) First(string, time.Duration, int) {}
+func (ignoredEvents) Refused(string)                   {}
+func (ignoredEvents) Unreleased()                      {}
+func (ignoredEvents) Listed(int64, int, []string)      {}
 
 // socket is a connection to an engine.
 type socket struct {
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	current *open
 	gone    bool
 	parting bool // to be closed once all is written
-	cut     bool // and at once: its answer broke, or its client shall go elsewhere
+	cut     bool // and at once: its answer broke
 	out     []byte
 	dirty   bool
 	held    int
--- a/node/rules_test.go
+++ b/node/rules_test.go
@@ -30,6 +30,7 @@
 // world is a node core among clients and engines that behave at random, and the judge of the rules. It believes only
 // what reached clients and engines.
 type world struct {
+	ignoredEvents
 	t        *rapid.T
 	d        *settings.Deployment
 	core     *node.Core
@@ -85,15 +86,8 @@
 }
 
 func (w *world) Dial(l *node.Line)                               { w.dialling = append(w.dialling, l) }
-func (w *world) Tell(int, string)                                {}
 func (w *world) Around(_ brain.Input, step func())               { step() }
 func (w *world) ModuleFailed(p any, _ brain.Input, stack []byte) { w.t.Fatalf("%v\n%s", p, stack) }
-func (w *world) Final(node.Final)                                {}
-func (w *world) Shed(string, int)                                {}
-func (w *world) First(string, time.Duration, int)                {}
-func (w *world) Refused(string)                                  {}
-func (w *world) Unreleased()                                     {}
-func (w *world) Listed(int64, int, []string)                     {}
 
 func (c *caller) Send(data []byte) error { c.out.Write(data); return nil }
 func (c *caller) Drained() bool          { return true }
