Releases are repeated behind attempts that were cut; one table owns what engines hold

Seen: with engines that notice a closed connection later than the node closes it, the random test of the node core breaks rule 5 in its first draw on the text before: "q0 is held at s0 for 810ms". At the end of a request's time the node closes the connection of the write that is out and writes the release in the same moment, on another connection, to another engine. An engine lets go only of what no attempt waits for. If the release arrives before the close is seen, it lets go of nothing, is answered 204, and is never sent again: the state stays.

Lines at fault: letGo emptied attempt.Trace before anything was known to be released, errandDone took any 2xx for the end (node/core.go, node/lines.go), and only reads were told again later (LateReads), not states that a write had claimed. The same lines lost the state for good where the module discards it while a write is out at a writer that does not answer (brain's withdraw): the trace was empty when that write ended.

Ruled out: the count of what the kernel took (the library counts under the lock that close takes); the module's own margin (it has five eighths of the limit already).

Also found on the way, with the same table: a read given up whose later releases were dropped while the request used that engine, and which was not told again; the second try at a reader that hangs began 0.33 s after the first; the limit ran from when the owner heard of a read's end, not from when it may have ended; a write to a machine that was cut off kept its state until it was found silent.

Change: package hold owns each state that may exist, with a table of transitions and a due time of its own. Releases are repeated every half limit while an attempt that was given up may act, go to two engines at once and to others each 50 ms until one acknowledges. Gone: attempt.Trace, LateReads, uses, errands' tries. TestTrace goes with its type; hold's tests ask more of the table that took its place.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -181,32 +181,3 @@
 		t.Hear(engine, ready[engine], now)
 	}
 }
-
-// Held is a state that a reader holds, or may hold, from one send of an inference.
-type Held struct {
-	Reader string
-	Send   int
-}
-
-// Trace counts where states may be held for one inference, so that each is let go once it is of no use. States go
-// by the send that made them: letting go of a lost read must not take the next one's state at the same reader.
-type Trace struct{ held []Held }
-
-// Holds notes that a reader holds, or may hold, a state.
-func (t *Trace) Holds(h Held) {
-	if !slices.Contains(t.held, h) {
-		t.held = append(t.held, h)
-	}
-}
-
-// Taken forgets one: a writer has fetched it, or its reader is told already.
-func (t *Trace) Taken(h Held) {
-	t.held = slices.DeleteFunc(t.held, func(o Held) bool { return o == h })
-}
-
-// LetGo returns those whose readers must be told, once each.
-func (t *Trace) LetGo() []Held {
-	row := t.held
-	t.held = nil
-	return row
-}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -202,6 +202,13 @@
 	return atMost
 }
 
+// Rests is whether a connection to an engine lies idle that Take would use again.
+func (p *Pool) Rests(engine string, now, atMost int64) bool {
+	return slices.ContainsFunc(p.of[engine], func(c *conn) bool {
+		return c.state == Idle && now >= c.settle && now-c.since < min(atMost, p.bounds.IdleNs)
+	})
+}
+
 // Happen takes an input for one connection. What fits no line changes nothing and needs nothing.
 func (p *Pool) Happen(id int64, in Input, now int64) Effect {
 	c := p.conns[id]
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -8,15 +8,16 @@
 
 // meters are the node's metrics.
 type meters struct {
-	registry   *prometheus.Registry
-	finals     *prometheus.CounterVec
-	refused    *prometheus.CounterVec
-	firsts     *prometheus.HistogramVec
-	panics     prometheus.Counter
-	unreleased prometheus.Counter
-	module     prometheus.Counter
-	engines    prometheus.Gauge
-	holding    *prometheus.GaugeVec
+	registry *prometheus.Registry
+	finals   *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	firsts   *prometheus.HistogramVec
+	panics   prometheus.Counter
+	releases *prometheus.CounterVec
+	module   prometheus.Counter
+	engines  prometheus.Gauge
+	holding  *prometheus.GaugeVec
+	oldest   prometheus.Gauge
 }
 
 func newMeters() *meters {
@@ -32,21 +33,25 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 16)}, []string{"route"}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{Name: "sandcourse_module_failures_total",
 			Help: "Panics of the decision module; each ends all that was open."}),
-		unreleased: prometheus.NewCounter(prometheus.CounterOpts{Name: "sandcourse_unreleased_total",
-			Help: "States whose reader did not confirm that it let go."}),
+		releases: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "sandcourse_releases_total",
+			Help: "Releases of states that no attempt took: sent, acknowledged, overdue, unconfirmed, given up, no room."},
+			[]string{"how"}),
 		module: prometheus.NewCounter(prometheus.CounterOpts{Name: "sandcourse_module_seconds_total",
 			Help: "Time spent in the decision module."}),
 		engines: prometheus.NewGauge(prometheus.GaugeOpts{Name: "sandcourse_engines", Help: "Engines listed."}),
 		holding: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "sandcourse_holding",
-			Help: "What the node holds: clients, inferences, bytes, lines."}, []string{"what"}),
+			Help: "What the node holds: clients, inferences, bytes, lines, states at engines."}, []string{"what"}),
+		oldest: prometheus.NewGauge(prometheus.GaugeOpts{Name: "sandcourse_oldest_hold_seconds",
+			Help: "How long the oldest state has been known that engines hold or may hold; 0 for none."}),
 	}
-	m.registry.MustRegister(m.finals, m.refused, m.firsts, m.panics, m.unreleased, m.module, m.engines, m.holding)
+	m.registry.MustRegister(m.finals, m.refused, m.firsts, m.panics, m.releases, m.module, m.engines, m.holding, m.oldest)
 	return m
 }
 
 func (m *meters) see(h node.Holding) {
 	for what, v := range map[string]int{"clients": h.Clients, "inferences": h.Inferences, "bytes": h.Bytes,
-		"lines": h.Lines} {
+		"lines": h.Lines, "states": h.Held} {
 		m.holding.WithLabelValues(what).Set(float64(v))
 	}
+	m.oldest.Set(h.OldestHold.Seconds())
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -224,6 +224,7 @@
 	defer wake.Stop()
 	var row []func()
 	var seen int64
+	looked := n.clock()
 	for {
 		wake.Reset(max(0, time.Duration(n.core.Due()-n.clock())))
 		select {
@@ -232,9 +233,11 @@
 		case <-n.in.wake:
 		case <-wake.C:
 		}
-		n.core.Begin(n.clock())
-		row = n.in.take(row)
 		turned := n.clock()
+		n.core.Begin(turned)
+		n.core.EventsSince(looked)
+		looked = turned
+		row = n.in.take(row)
 		for _, event := range row {
 			now := n.clock()
 			if now-turned >= turnEvery {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -71,7 +71,7 @@
 
 func (w watch) Refused(why string) { w.n.metrics.refused.WithLabelValues(why).Inc() }
 
-func (w watch) Unreleased() { w.n.metrics.unreleased.Inc() }
+func (w watch) Released(how node.Release) { w.n.metrics.releases.WithLabelValues(string(how)).Inc() }
 
 func (w watch) Listed(revision int64, engines int, unknown []string) {
 	w.n.metrics.engines.Set(float64(engines))
--- a/lab/edge.go
+++ b/lab/edge.go
@@ -457,5 +457,5 @@
 func (quiet) Shed(string, int)                            {}
 func (quiet) First(string, time.Duration, int)            {}
 func (quiet) Refused(string)                              {}
-func (quiet) Unreleased()                                 {}
+func (quiet) Released(node.Release)                       {}
 func (quiet) Listed(int64, int, []string)                 {}
--- a/node/core.go
+++ b/node/core.go
@@ -14,6 +14,7 @@
 	"sandcourse/brain"
 	"sandcourse/conns"
 	"sandcourse/dialect"
+	"sandcourse/hold"
 	"sandcourse/limits"
 	"sandcourse/roster"
 	"sandcourse/settings"
@@ -53,6 +54,7 @@
 	dirty    []*Client
 	lines    map[int64]*Line
 	errands  map[*errand]bool
+	holds    *hold.Table
 	infs     map[int64]*open
 	nextInf  int64
 	took     uint64 // rows of attempt's table taken so far, a bit each, from bit 1
@@ -63,6 +65,7 @@
 	gone        bool  // it has left its clients since
 	heardAt     int64 // when another node was last heard
 	swept       int64
+	eventsSince int64 // events that are handed over now happened after this; 0 where that is not known
 }
 
 // open is one inference from its arrival until its final answer is out and none of its sends is.
@@ -76,11 +79,10 @@
 	giveUpAt int64
 	sends    []*send
 	transfer dialect.State
-	state    attempt.Held // where its state is
-	trace    attempt.Trace
 	whole    dialect.Collector // where the client wants one answer
 	began    bool
 	firstAt  int64
+	cutUntil int64  // until when an attempt that was given up may still act at its engine; 0 where none was
 	tokens   int    // passed on by the core; relays count theirs
 	final    string // completed, shed, errored or left; empty while none is given
 }
@@ -116,12 +118,12 @@
 	left      = "left"
 )
 
-// timer is the module's, or an errand's next try.
+// timer is the module's, or a hold's next release.
 type timer struct {
 	at, turn int64
 	token    int64
 	lives    uint64 // of the module that set it; an older one's timers are of no effect
-	errand   *errand
+	hold     *hold.Hold
 }
 
 // timers is a heap; those that fall due together go in the order in which they were set.
@@ -148,7 +150,8 @@
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
-		errands: map[*errand]bool{}, infs: map[int64]*open{}, answeredAt: map[string]int64{}}
+		errands: map[*errand]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, speaks.ReleasesAnywhere(),
+			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*open{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
@@ -161,10 +164,8 @@
 }
 
 func (o *Core) due(t timer) {
-	if e := t.errand; e != nil {
-		if !e.late || !o.uses(e.name, e.engine) {
-			o.run(e)
-		}
+	if t.hold != nil {
+		o.release(t.hold)
 	} else if t.lives == o.lives {
 		o.tell(brain.TimerDue{Token: t.token})
 	}
@@ -281,9 +282,7 @@
 		for _, s := range inf.sends {
 			if !s.ended {
 				s.ended = true
-				if !s.writes {
-					inf.trace.Holds(attempt.Held{Reader: s.engine, Send: s.n})
-				}
+				o.noteOutcome(s, attempt.WithdrawnBy, attempt.Result{Verdict: brain.Withdrawn, Leaves: true})
 				if s.line != nil && s.line.send == s {
 					s.line.send = nil
 					o.spoil(s.line)
@@ -328,13 +327,6 @@
 	}
 }
 
-// letGo tells readers to drop what they hold for an inference.
-func (o *Core) letGo(inf *open) {
-	for _, h := range inf.trace.LetGo() {
-		o.run(&errand{engine: h.Reader, name: inf.name, send: h.Send})
-	}
-}
-
 // ---- the way of an inference
 
 // arrive takes a call, or refuses it before the module hears of it.
@@ -443,8 +435,8 @@
 func (o *Core) request(l *Line) ([]byte, error) {
 	to := o.reach(l.Engine)
 	if e := l.errand; e != nil {
-		if e.name != "" {
-			return o.speaks.Release(to, e.name, e.send), nil
+		if e.hold != nil {
+			return o.speaks.Release(to, e.hold.ID.Request, e.hold.ID.Attempt), nil
 		}
 		return o.speaks.Probe(to), nil
 	}
@@ -525,22 +517,14 @@
 		}
 	}
 	note := 0.0
-	switch {
-	case r.Verdict == brain.ReadDone:
-		note = s.kept
-		inf.transfer, inf.state = s.transfer, attempt.Held{Reader: s.engine, Send: s.n}
-		inf.trace.Holds(inf.state)
-	case r.Gone:
+	if r.Verdict == brain.ReadDone {
+		note, inf.transfer = s.kept, s.transfer
+	}
+	o.noteOutcome(s, in, r)
+	if r.Gone {
 		// The writer could not fetch it. Its reader may still hold it, unheard, and nobody will ask for it again.
 		note = 1
 		o.letGo(inf)
-	case r.Leaves && !s.writes:
-		// A state of this read has no name here, so no writer will fetch it. The module may wait for a reader
-		// longer than the pin limit with nothing out, so it is let go of now and not with the inference.
-		o.run(&errand{engine: s.engine, name: inf.name, send: s.n})
-		for _, later := range o.d.LateReads {
-			o.after(int64(later), timer{errand: &errand{engine: s.engine, name: inf.name, send: s.n, late: true}})
-		}
 	}
 	if s.machine.Began {
 		if r.Verdict == brain.Completed {
@@ -565,8 +549,7 @@
 	inf := s.inf
 	if first {
 		inf.began, inf.firstAt = true, o.now
-		inf.trace.Taken(inf.state) // the writer has fetched the state, and its reader let go of it then
-		o.letGo(inf)
+		o.changeHolds(inf, hold.Taken)
 		if inf.whole == nil && inf.final == "" {
 			o.write(inf.client, o.speaks.Open(inf.name))
 		}
--- a/node/digest.go
+++ b/node/digest.go
@@ -16,7 +16,8 @@
 	o.brain.Digest(w)
 	for _, id := range o.ids() {
 		inf := o.infs[id]
-		fmt.Fprintln(w, "inf", id, inf.client.ID, inf.began, inf.final, inf.state, inf.transfer, o.now-inf.at, inf.trace)
+		fmt.Fprintln(w, "inf", id, inf.client.ID, inf.began, inf.final, inf.transfer, o.now-inf.at,
+			max(0, inf.cutUntil-o.now))
 		for _, s := range inf.sends {
 			fmt.Fprintln(w, s.engine, s.writes, o.now-s.at, s.machine, s.ended, s.verdict, s.heads, o.now-s.lastToken)
 		}
@@ -33,24 +34,23 @@
 		if l.send != nil {
 			carries = fmt.Sprint("inf ", l.send.inf.id, " send ", l.send.n)
 		} else if l.errand != nil {
-			carries = fmt.Sprint("errand ", l.errand.name, l.errand.send)
+			carries = "errand " + l.errand.what()
 		}
 		rows = append(rows, fmt.Sprintln("line", l.Engine, state, o.now-since, carries, l.restSince > 0, l.socket != nil,
 			l.again, min(o.now-l.wroteAt, atOnce)))
 	}
 	fmt.Fprintln(w, o.pool.HastyFor(o.now))
 	for e := range o.errands {
-		rows = append(rows, fmt.Sprintln("errand", e.engine, e.name, e.send, o.now-e.at, e.tries))
+		rows = append(rows, fmt.Sprintln("errand", e.engine, e.what(), o.now-e.at))
 	}
 	for _, t := range o.timers {
-		what := o.brain.TimerOf(t.token)
-		if t.errand != nil {
-			what = "errand " + fmt.Sprint(t.errand.engine, " ", t.errand.name, t.errand.send)
-		}
-		if what != "" {
+		if what := o.brain.TimerOf(t.token); what != "" {
 			rows = append(rows, fmt.Sprintln("timer", t.at-o.now, what))
 		}
 	}
+	for _, h := range o.holds.All() { // their timers stand for no more than their due times
+		rows = append(rows, fmt.Sprintln("hold", h.Describe(o.now)))
+	}
 	slices.Sort(rows)
 	io.WriteString(w, strings.Join(rows, ""))
 	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
@@ -63,6 +63,14 @@
 	fmt.Fprintln(w, o.swept-o.now, o.lives)
 }
 
+// what tells errands apart.
+func (e *errand) what() string {
+	if e.hold == nil {
+		return "probe"
+	}
+	return fmt.Sprint("release ", e.hold.ID, " ", e.hold.Round-e.round)
+}
+
 // Sent is one send as an explorer sees it.
 type Sent struct {
 	Inference, Engine string
--- a/node/lines.go
+++ b/node/lines.go
@@ -2,51 +2,27 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"sandcourse/attempt"
 	"sandcourse/brain"
 	"sandcourse/conns"
+	"sandcourse/hold"
 )
 
-// errand is what is asked of an engine beside sends: a probe, or to let go of a state.
+// errand is what is asked of an engine beside attempts: a probe, or to release a state.
 type errand struct {
 	engine string
-	via    string // whom it was last asked of: the engine, or another that can do it as well
-	asked  []string
-	name   string // of the inference to let go of; empty for a probe
-	send   int    // whose state that is
+	hold   *hold.Hold // to be released; nil for a probe
+	round  int        // of the hold's releases
+	fresh  bool       // it is to go on a connection of its own
 	at     int64
-	tries  int
-	late   bool // for a read that may have gone on after its connection ended
 	head   *http.Response
 }
 
-// uses is whether an inference of a name has a send out at an engine, or a state there that a writer may
-// still fetch.
-func (o *Core) uses(name, engineID string) bool {
-	for _, inf := range o.infs {
-		if inf.name == name && inf.final == "" {
-			out := func(s *send) bool { return !s.ended && s.engine == engineID }
-			return slices.ContainsFunc(inf.sends, out) || inf.state.Reader == engineID && !inf.began
-		}
-	}
-	return false
-}
-
-// An errand's time and tries. Letting go must be done within the pin limit, so the first three tries are out
-// within 150 ms if connections are refused; the later ones come at doubled distances, for a reader that is
-// away for a second or two. One that has heard none of six drops the state by its own time-out.
-const errandTries = 6
-
-// errandTime is how long one try may take: a quarter of the pin limit, so that a try that hangs leaves time
-// for another two within it, and never more than a quarter second.
+// errandTime is how long one may take: a quarter of the pin limit, and never more than a quarter second.
 func (o *Core) errandTime() int64 { return min(int64(250*time.Millisecond), int64(o.d.Rules.Pin)/4) }
 
-// errandRest is how long the second try waits; each later one twice as long.
-func (o *Core) errandRest() int64 { return min(int64(50*time.Millisecond), int64(o.d.Rules.Pin)/16) }
-
 // spareLines are for errands alone, at each engine: while all other lines read, states must still be let go
 // of.
 const spareLines = 2
@@ -57,12 +33,11 @@
 	if e != nil {
 		spare = spareLines
 	}
-	// Errands trust kept lines whatever became of others: letting go may be said twice, and what is written to a
-	// line that is there reaches an engine that is paused, while a new one does not come up. Every second try is
-	// on a new one.
+	// Errands trust kept lines whatever became of others: a release may be sent twice, and what is written to a line
+	// that is there reaches an engine that is paused, while a new one does not come up.
 	if s != nil {
 		atMost = o.pool.Trust(engineID, o.now, atMost, !s.writes || o.d.Routes[s.inf.route].Effect == "retriable")
-	} else if e.tries%2 == 0 && e.via == e.engine {
+	} else if e.fresh {
 		atMost = 0
 	}
 	lease := o.pool.Take(engineID, o.now, atMost, spare)
@@ -134,9 +109,12 @@
 		o.happen(l.send, attempt.Barred, err.Error())
 		return
 	}
-	if l.send != nil {
-		o.took |= 1 << l.send.machine.Happen(attempt.Connected).Row
-		l.send.wroteAt = o.now
+	if s := l.send; s != nil {
+		o.took |= 1 << s.machine.Happen(attempt.Connected).Row
+		s.wroteAt = o.now
+		if s.writes {
+			o.changeHolds(s.inf, hold.AttemptSent)
+		}
 	}
 	l.wroteAt = o.now
 	if err := l.socket.Write(request); err != nil {
@@ -296,35 +274,13 @@
 
 // run starts an errand.
 func (o *Core) run(e *errand) {
-	e.at, e.head = o.now, nil
-	e.tries++
+	e.at = o.now
 	o.errands[e] = true
-	e.via = e.engine
-	if e.name != "" && e.tries > 1 && o.speaks.ReleasesAnywhere() {
-		e.via = o.another(e)
-	}
-	e.asked = append(e.asked, e.via)
-	if !o.carry(e.via, nil, e, int64(o.d.Lines.Idle)) {
+	if !o.carry(e.engine, nil, e, int64(o.d.Lines.Idle)) {
 		o.errandDone(e, nil, nil)
 	}
 }
 
-// another is the engine of the list that answered last among those that were not asked yet; the errand's own where
-// all were.
-func (o *Core) another(e *errand) string {
-	found, at := e.engine, int64(-1)
-	if o.list == nil {
-		return found
-	}
-	for _, listed := range o.list.Engines {
-		heard := o.answeredAt[listed.Engine]
-		if heard > at && !slices.Contains(e.asked, listed.Engine) {
-			found, at = listed.Engine, heard
-		}
-	}
-	return found
-}
-
 func (o *Core) errandDone(e *errand, head *http.Response, body []byte) {
 	if !o.errands[e] {
 		return
@@ -332,18 +288,17 @@
 	delete(o.errands, e)
 	ok := head != nil && head.StatusCode/100 == 2
 	switch {
-	case e.name == "" && ok:
+	case e.hold != nil:
+		if ok {
+			o.released(e)
+		}
+	case ok:
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
 			Report: o.speaks.Load(head, body)})
-	case e.name == "" && head != nil: // it is there, and has no answer now
+	case head != nil: // it is there, and has no answer now
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Full, Lag: o.now - e.at})
-	case e.name == "":
-		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
-	case ok:
-	case e.tries < errandTries:
-		o.after(o.errandRest()<<max(0, e.tries-1), timer{errand: e})
 	default:
-		o.watch.Unreleased()
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,19 @@
 	Prompt, Tokens                        int
 }
 
+// Release is what happened to a state that engines hold for a request.
+type Release string
+
+// The ways of a held state that no attempt has taken.
+const (
+	ReleaseSent         Release = "sent"         // releases were sent, the first of a row
+	ReleaseAcknowledged Release = "acknowledged" // an engine has acknowledged one
+	ReleaseOverdue      Release = "overdue"      // the decision module kept the state for as long as it may be
+	ReleaseUnconfirmed  Release = "unconfirmed"  // the attempt that was to take it has not been heard of for as long
+	ReleaseGivenUp      Release = "given up"     // no engine acknowledges releases
+	ReleaseNoRoom       Release = "no room"      // too many states are known: this one is not looked after
+)
+
 // Watch is told what happens; nothing hangs on it.
 type Watch interface {
 	Around(in brain.Input, step func()) // runs a step of the module
@@ -62,7 +75,8 @@
 	Shed(route string, prompt int) // before it was an inference
 	First(route string, after time.Duration, prompt int)
 	Refused(why string)
-	Unreleased()
+	// Released counts what became of a state that was held: see the reasons.
+	Released(how Release)
 	Listed(revision int64, engines int, unknown []string)
 }
 
@@ -110,6 +124,9 @@
 // Begin sets the time before events of that time are handed over.
 func (o *Core) Begin(now int64) { o.now = now }
 
+// EventsSince says that what is handed over next happened after a time, however late the node comes to it.
+func (o *Core) EventsSince(at int64) { o.eventsSince = at }
+
 // Turn runs what is due by now and flushes what clients are to get.
 func (o *Core) Turn(now int64) {
 	o.now = now
@@ -161,18 +178,19 @@
 // Holding is what a node holds now.
 type Holding struct {
 	Clients, Inferences, Bytes, Lines int
-	Errands                           int  // under way, or to be tried again
-	Stays                             bool // it is told to stop, and takes calls still
+	Errands                           int           // probes and releases under way, and states that are still to be released
+	Held                              int           // states that engines hold, or may hold
+	OldestHold                        time.Duration // how long the oldest of these has been known
+	Stays                             bool          // it is told to stop, and takes calls still
 }
 
 // Holding counts.
 func (o *Core) Holding() Holding {
 	clients, _, bytes := o.gate.Holding()
-	errands := len(o.errands)
-	for _, t := range o.timers {
-		if t.errand != nil && !t.errand.late {
-			errands++
-		}
+	h := Holding{Clients: clients, Inferences: len(o.infs), Bytes: bytes, Lines: len(o.lines), Errands: len(o.errands) + o.holds.Owed(),
+		Held: o.holds.Count(), Stays: o.stopping && o.taking()}
+	if since := o.holds.Oldest(); since > 0 {
+		h.OldestHold = time.Duration(o.now - since)
 	}
-	return Holding{clients, len(o.infs), bytes, len(o.lines), errands, o.stopping && o.taking()}
+	return h
 }
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -14,7 +14,7 @@
 	{"P2", "at most one send of an inference is out"},
 	{"P3", "no send follows a send that may have run, if the route is non-retriable; nothing that may have run is shed"},
 	{"P4", "the final answer, or the first token of a stream, comes before the client gives up"},
-	{"P5", "no state is held longer than the pin limit with no send of its inference out, unless two tries to let go were lost"},
+	{"P5", "no state is held longer than the pin limit with no send of its inference out, unless two tries to let go were lost; the module lets go before the node's last resort"},
 	{"P6", "no send follows the final answer, and none stays out after its client left"},
 	{"P7", "nothing is written to an engine later than the grace after the news of its drain"},
 	{"P8", "a connection carries one thing at a time, and nothing after an unread rest"},
@@ -156,8 +156,8 @@
 		}
 	}
 	h := s.core.Holding()
-	if h.Inferences+h.Errands > 0 || s.core.BusyLines() > 0 {
-		s.say("P9 at the end the node holds %d inferences, %d errands, %d busy lines", h.Inferences, h.Errands,
-			s.core.BusyLines())
+	if h.Inferences+h.Errands+h.Held > 0 || s.core.BusyLines() > 0 {
+		s.say("P9 at the end the node holds %d inferences, %d errands, %d states, %d busy lines", h.Inferences, h.Errands,
+			h.Held, s.core.BusyLines())
 	}
 }
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -385,8 +385,12 @@
 func (w watch) Shed(string, int)                 {}
 func (w watch) First(string, time.Duration, int) {}
 func (w watch) Refused(why string)               { w.s.say("P12 refused: %s", why) }
-func (w watch) Unreleased()                      {}
-func (w watch) Listed(int64, int, []string)      {}
+func (w watch) Released(how node.Release) {
+	if how == node.ReleaseOverdue {
+		w.s.say("P5 the module keeps a state until the node lets go of it")
+	}
+}
+func (w watch) Listed(int64, int, []string) {}
 
 // ---- truth about states
 
@@ -620,7 +624,7 @@
 // quiet is whether nothing is left to happen.
 func (s *sim) quiet() bool {
 	h := s.core.Holding()
-	if h.Inferences > 0 || h.Errands > 0 || len(s.held) > 0 {
+	if h.Inferences > 0 || h.Errands > 0 || h.Held > 0 || len(s.held) > 0 {
 		return false
 	}
 	for _, c := range s.clients {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -79,9 +79,9 @@
 	Stay     time.Duration
 	HandOver time.Duration
 	Inbox    int
-	// LateReads is when engines are told again to let go of a lost read, where they forget that they were told:
-	// a read that goes on after its connection ended comes to hold its state later.
-	LateReads []time.Duration
+	// ReleaseFor is for how long releases are repeated after an attempt was given up, where engines forget them: an
+	// attempt that goes on after its connection ended comes to hold its state, or gives it back, later.
+	ReleaseFor time.Duration
 }
 
 // Engines that one script may list.
