--- a/node/core_test.go
+++ b/node/core_test.go
@@ -31,7 +31,7 @@
 	fails, mayFail bool // the module, at its next input; and whether that is wanted
 }
 
-func (b *bench) Dial(l *node.Line)                             { b.dials = append(b.dials, l) }
+func (b *bench) Dial(l *node.Line) { b.dials = append(b.dials, l) }
 func (b *bench) Around(in brain.Input, step func()) {
 	if b.fails {
 		b.fails = false
@@ -83,11 +83,11 @@
 	s.Write(data)
 	return nil
 }
-func (s *screen) Drained() bool          { return true }
-func (s *screen) StopReading()           {}
-func (s *screen) Close()                 { s.shut = true }
-func (s *screen) Gone() bool             { return s.gone }
-func (s *screen) TryClose() bool         { s.shut = s.shut || !s.reading; return s.shut }
+func (s *screen) Drained() bool  { return true }
+func (s *screen) StopReading()   {}
+func (s *screen) Close()         { s.shut = true }
+func (s *screen) Gone() bool     { return s.gone }
+func (s *screen) TryClose() bool { s.shut = s.shut || !s.reading; return s.shut }
 
 const told = `{"name":"n0","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"1","limits":{"sockets":1024},
  "settings":{"areas":["a"],"zone":0,"index":0,"peers_total":1,"tick_us":4000,"flavors":["m1","m2"],"ceilings":{
