--- a/hold/hold.go
+++ b/hold/hold.go
@@ -351,7 +351,7 @@
 		Keep: pin * 3 / 4,
 		// A state that comes to be held just after a release has half the limit left at the next.
 		Rest:   pin / 2,
-		Retry:  min(int64(50*time.Millisecond), pin/16),
+		Retry:  max(int64(time.Millisecond), min(int64(50*time.Millisecond), pin/16)),
 		GiveUp: 4 * pin,
 		Most:   most,
 		Shared: shared,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -224,6 +224,9 @@
 	}
 }
 
+// leastPin is the shortest limit for held states that a node can keep: a release needs a way there on a loaded machine.
+const leastPin = 20 * time.Millisecond
+
 // Check checks what no single value can.
 func (d *Deployment) Check(say func(format string, args ...any)) {
 	if len(d.Routes) == 0 {
@@ -237,8 +240,8 @@
 	if d.Me >= d.Nodes {
 		say("node: number %d must be under nodes, which is %d", d.Me, d.Nodes)
 	}
-	if d.Rules.Pin < 8*d.Tick {
-		say("rules: pin must be at least eight ticks, %v", 8*d.Tick)
+	if least := max(leastPin, 8*d.Tick); d.Rules.Pin < least {
+		say("rules: pin is %v; it must be at least %v: eight ticks, and %v", d.Rules.Pin, least, leastPin)
 	}
 }
 
