Holds keep their due times in their own table, not as timers of the core

Each state left a timer behind for three quarters of the limit, and the timer the state.

Now the table knows the next due time; the core looks at it in each turn, before the module's timers.

--- a/hold/hold.go
+++ b/hold/hold.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -145,10 +146,13 @@
 	bounds   Bounds
 	requests map[string][]*Hold // in order of their reads
 	count    int
+	// next is the earliest due time; it may have passed out of the table where stale is set.
+	next  int64
+	stale bool
 }
 
 // New makes an empty table.
-func New(b Bounds) *Table { return &Table{bounds: b, requests: map[string][]*Hold{}} }
+func New(b Bounds) *Table { return &Table{bounds: b, requests: map[string][]*Hold{}, next: Never} }
 
 // Find is the hold of an id; nil where nothing is known of one.
 func (t *Table) Find(id ID) *Hold {
@@ -172,6 +176,42 @@
 	return row
 }
 
+// Never is the due time of an empty table.
+const Never = int64(math.MaxInt64)
+
+// Next is when the next hold is due.
+func (t *Table) Next() int64 {
+	if !t.stale {
+		return t.next
+	}
+	t.next, t.stale = Never, false
+	for _, holds := range t.requests {
+		for _, h := range holds {
+			t.next = min(t.next, h.Due)
+		}
+	}
+	return t.next
+}
+
+// DueBy lists the holds that are due, in order of requests and reads.
+func (t *Table) DueBy(now int64) (row []*Hold) {
+	if now < t.Next() {
+		return nil
+	}
+	for _, h := range t.All() {
+		if h.Due <= now {
+			row = append(row, h)
+		}
+	}
+	return row
+}
+
+func (t *Table) setDue(h *Hold, at int64) {
+	t.stale = t.stale || h.Due == t.next
+	h.Due = at
+	t.next = min(t.next, at)
+}
+
 // Count is how many holds there are.
 func (t *Table) Count() int { return t.count }
 
@@ -275,7 +315,7 @@
 	t.happen(h, Overdue, now, now, 0)
 	if wanted := t.wanted(h); t.bounds.Shared && wanted > now {
 		// A release would take the state that the request waits to use. The time of this one runs from the same moment.
-		h.Due = wanted
+		t.setDue(h, wanted)
 		return Nothing, kept
 	}
 	if h.pressing == 0 {
@@ -286,7 +326,7 @@
 		return Abandon, kept
 	}
 	h.unheard++
-	h.Due = now + t.backoff(h.unheard)
+	t.setDue(h, now+t.backoff(h.unheard))
 	return Release, kept
 }
 
@@ -321,12 +361,12 @@
 	h.State = transitions[i].next
 	switch transitions[i].timing {
 	case kept:
-		h.Due = since + t.bounds.Keep
+		t.setDue(h, since+t.bounds.Keep)
 	case atOnce:
-		h.Due = now
+		t.setDue(h, now)
 		t.newRound(h)
 	case afterRest:
-		h.Due = now + t.bounds.Rest
+		t.setDue(h, now+t.bounds.Rest)
 	}
 	if h.State == None {
 		t.drop(h)
@@ -335,6 +375,7 @@
 
 func (t *Table) drop(h *Hold) {
 	request := h.ID.Request
+	t.stale = t.stale || h.Due == t.next
 	t.requests[request] = slices.DeleteFunc(t.requests[request], func(other *Hold) bool { return other == h })
 	t.count--
 	if len(t.requests[request]) == 0 {
--- a/node/core.go
+++ b/node/core.go
@@ -118,12 +118,11 @@
 	left      = "left"
 )
 
-// timer is the module's, or a hold's next release.
+// timer is the module's.
 type timer struct {
 	at, turn int64
 	token    int64
 	lives    uint64 // of the module that set it; an older one's timers are of no effect
-	hold     *hold.Hold
 }
 
 // timers is a heap; those that fall due together go in the order in which they were set.
@@ -164,9 +163,7 @@
 }
 
 func (o *Core) due(t timer) {
-	if t.hold != nil {
-		o.release(t.hold)
-	} else if t.lives == o.lives {
+	if t.lives == o.lives {
 		o.tell(brain.TimerDue{Token: t.token})
 	}
 }
--- a/node/digest.go
+++ b/node/digest.go
@@ -48,7 +48,7 @@
 			rows = append(rows, fmt.Sprintln("timer", t.at-o.now, what))
 		}
 	}
-	for _, h := range o.holds.All() { // their timers stand for no more than their due times
+	for _, h := range o.holds.All() {
 		rows = append(rows, fmt.Sprintln("hold", h.Describe(o.now)))
 	}
 	slices.Sort(rows)
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,9 @@
 // Turn runs what is due by now and flushes what clients are to get.
 func (o *Core) Turn(now int64) {
 	o.now = now
+	for _, h := range o.holds.DueBy(now) {
+		o.release(h)
+	}
 	for len(o.timers) > 0 && o.timers[0].at <= o.now {
 		o.due(heap.Pop(&o.timers).(timer))
 	}
@@ -151,7 +154,7 @@
 
 // Due is when Turn is next needed if nothing happens before.
 func (o *Core) Due() int64 {
-	due := o.swept + sweepEvery
+	due := min(o.swept+sweepEvery, o.holds.Next())
 	if len(o.timers) > 0 {
 		due = min(due, o.timers[0].at)
 	}
--- a/node/release.go
+++ b/node/release.go
@@ -42,7 +42,7 @@
 		o.watch.Released(ReleaseNoRoom)
 		return
 	}
-	o.armRelease(h)
+	o.release(h)
 }
 
 // claimEnded is what the outcome of an attempt that may have taken a state says of it.
@@ -71,27 +71,12 @@
 
 func (o *Core) changeHolds(inf *open, in hold.Input) {
 	for _, h := range o.holds.Attempt(inf.name, in, o.now, o.sinceWhen(), inf.cutUntil) {
-		o.armRelease(h)
-	}
-}
-
-// armRelease has a hold looked at when its next release is due, which may be now.
-func (o *Core) armRelease(h *hold.Hold) {
-	if h.State == hold.None {
-		return
-	}
-	if h.Due <= o.now {
 		o.release(h)
-		return
 	}
-	o.after(h.Due-o.now, timer{hold: h})
 }
 
-// release does what a hold asks for whose time may have come.
+// release does what a hold asks for, if its time has come.
 func (o *Core) release(h *hold.Hold) {
-	if h.State == hold.None || o.now < h.Due {
-		return // it was released, or has a later timer
-	}
 	do, kept := o.holds.Run(h, o.now)
 	switch kept {
 	case hold.Held:
@@ -105,7 +90,6 @@
 	case hold.Abandon:
 		o.watch.Released(ReleaseGivenUp)
 	}
-	o.armRelease(h)
 }
 
 func (o *Core) sendReleases(h *hold.Hold) {
@@ -158,5 +142,4 @@
 func (o *Core) released(e *errand) {
 	o.watch.Released(ReleaseAcknowledged)
 	o.holds.Acknowledge(e.hold, e.round, o.now)
-	o.armRelease(e.hold)
 }
