Held states: full tables make room, and events count from the take before the last

A poller that waits for room in a full inbox hands over what it read before the owner's last look, so the time of a state runs from the look before that. A table that is full forgets a state of which a release was acknowledged before it turns one away. A test for releases that are answered with 404, 500, noise, half an answer, nothing or a reset: all engines are asked, and the node gives up within its bound.

--- a/edge/node.go
+++ b/edge/node.go
@@ -224,7 +224,9 @@
 	defer wake.Stop()
 	var row []func()
 	var seen int64
-	looked := n.clock()
+	// When the owner last took what waited, and when it did the time before: a poller that waits for room in a full inbox
+	// hands over what it read before the last time.
+	looked, before := n.clock(), n.clock()
 	for {
 		wake.Reset(max(0, time.Duration(n.core.Due()-n.clock())))
 		select {
@@ -235,8 +237,8 @@
 		}
 		turned := n.clock()
 		n.core.Begin(turned)
-		n.core.EventsSince(looked)
-		looked = turned
+		n.core.EventsSince(before)
+		looked, before = turned, looked
 		row = n.in.take(row)
 		for _, event := range row {
 			now := n.clock()
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -229,12 +229,13 @@
 
 // Add takes up the state of a read that has just ended, by ReadDone or ReadLost. Since is the earliest time at which
 // the engine may have had it. Horizon is until when an attempt of the request that was given up may still act at its
-// engine, 0 where there is none. It returns nil where the table is full.
+// engine, 0 where there is none. It returns nil where the table is full of holds that no engine has acknowledged a
+// release of.
 func (t *Table) Add(id ID, engine string, in Input, now, since, horizon int64) *Hold {
 	if h := t.Find(id); h != nil {
 		return h
 	}
-	if t.count >= t.bounds.Most {
+	if t.count >= t.bounds.Most && !t.makeRoom() {
 		return nil
 	}
 	h := &Hold{ID: id, Engine: engine, Since: now}
@@ -244,6 +245,18 @@
 	return h
 }
 
+// makeRoom forgets a hold of which an engine has acknowledged a release, if there is one.
+func (t *Table) makeRoom() bool {
+	for _, h := range t.All() {
+		if h.State == Releasing && h.acks > 0 {
+			h.State = None
+			t.drop(h)
+			return true
+		}
+	}
+	return false
+}
+
 // Attempt tells all holds of a request what became of an attempt that may take one of them, or that all are unwanted.
 // It returns those whose due time has changed.
 func (t *Table) Attempt(request string, in Input, now, since, horizon int64) (changed []*Hold) {
--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -139,6 +139,14 @@
 	if table.Add(ID{"c", 0}, "r", ReadDone, start, start, 0) != nil {
 		t.Error("a third state is taken up")
 	}
+	full := New(b)
+	acknowledged := full.Add(first, "r", ReadLost, start, start, start+9*second)
+	full.Run(acknowledged, start)
+	full.Acknowledge(acknowledged, acknowledged.Round, start)
+	full.Add(ID{"b", 0}, "r", ReadDone, start, start, 0)
+	if full.Add(ID{"c", 0}, "r", ReadDone, start, start, 0) == nil || full.Find(first) != nil {
+		t.Error("a state that was released once does not make room")
+	}
 	releases, now := 0, start
 	for ; h.State != None && now < start+60*second; now += second / 100 {
 		if do, _ := table.Run(h, now); do == Release {
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -551,3 +551,41 @@
 		}
 	}
 }
+
+// A release that is answered with anything but an acknowledgement is sent to others, and given up in the end.
+func TestReleasesThatAreNotAcknowledged(t *testing.T) {
+	head := func(status int) *http.Response {
+		return &http.Response{Status: fmt.Sprint(status), StatusCode: status, Header: http.Header{}}
+	}
+	for what, answer := range map[string]func(b *bench, s *socket){
+		"404":     func(b *bench, s *socket) { b.core.LineHead(s.line, head(404), nil); b.core.LineEnd(s.line, nil, true) },
+		"500":     func(b *bench, s *socket) { b.core.LineHead(s.line, head(500), nil); b.core.LineEnd(s.line, nil, true) },
+		"noise":   func(b *bench, s *socket) { b.core.LineGarbled(s.line, io.ErrUnexpectedEOF) },
+		"half":    func(b *bench, s *socket) { b.core.LineHead(s.line, head(204), nil); b.core.LineBroken(s.line) },
+		"nothing": func(*bench, *socket) {},
+		"a reset": func(b *bench, s *socket) { b.core.LineBroken(s.line) },
+	} {
+		b, c, _ := writeOut(t, "chat")
+		b.list("r", "w", "w2")
+		b.core.Begin(b.now)
+		b.core.ClientGone(c)
+		b.core.Turn(b.now)
+		answered, engines := map[*socket]int{}, map[string]bool{}
+		for range 3000 { // 15 seconds
+			b.releases("a1")
+			for _, s := range b.lines {
+				if n := strings.Count(s.wrote.String(), "DELETE"); n > answered[s] && !s.shut {
+					answered[s] = n
+					engines[s.line.Engine] = true
+					b.core.Begin(b.now)
+					answer(b, s)
+					b.core.Turn(b.now)
+				}
+			}
+			b.pass(5 * time.Millisecond)
+		}
+		if n := b.releases("a1"); n < 10 || n > 100 || len(engines) != 3 || b.core.Holding().Held != 0 {
+			t.Errorf("%s: %d releases to %d engines, %+v", what, n, len(engines), b.core.Holding())
+		}
+	}
+}
