--- a/badday/fleet.go
+++ b/badday/fleet.go
@@ -230,7 +230,7 @@
 			sum.Inferences += h.Inferences
 			sum.Bytes += h.Bytes
 			sum.Lines += h.Lines
-			sum.Errands += h.Errands
+			sum.Controls += h.Controls
 		}
 	}
 	return sum
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -106,7 +106,7 @@
 		for _, e := range r.fleet.Engines {
 			held += e.Held()
 		}
-		return h.Inferences == 0 && h.Errands == 0 && held == 0
+		return h.Inferences == 0 && h.Controls == 0 && held == 0
 	})
 	for _, b := range r.log.Judge(r.rules, time.Now()) {
 		r.t.Error(b)
--- a/edge/node.go
+++ b/edge/node.go
@@ -283,7 +283,7 @@
 	var err error
 	for err == nil {
 		var h node.Holding
-		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Errands == 0 && !h.Stays {
+		if h, err = n.Look(ctx); err == nil && h.Inferences == 0 && h.Controls == 0 && !h.Stays {
 			break
 		}
 		select {
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -73,7 +73,7 @@
 // count the time that the line took to come up.
 func (o *Core) request(l *Line) ([]byte, error) {
 	to := o.reach(l.Engine)
-	if e := l.errand; e != nil {
+	if e := l.control; e != nil {
 		if e.hold != nil {
 			return o.speaks.Release(to, e.hold.ID.Request, e.hold.ID.Attempt), nil
 		}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"sandcourse/brain"
+	"sandcourse/hold"
+)
+
+// controlRequest is what an engine is asked beside attempts: a probe, or the release of a state.
+type controlRequest struct {
+	engine string
+	hold   *hold.Hold // to be released; nil for a probe
+	round  int        // of the hold's releases
+	fresh  bool       // it is to go on a connection of its own
+	at     int64
+	head   *http.Response
+}
+
+// controlTime is how long one may take: a quarter of the pin limit, and never more than a quarter second.
+func (o *Core) controlTime() int64 { return min(int64(250*time.Millisecond), int64(o.d.Rules.Pin)/4) }
+
+// startControl sends a control request.
+func (o *Core) startControl(e *controlRequest) {
+	e.at = o.now
+	o.controls[e] = true
+	if !o.carry(e.engine, nil, e, int64(o.d.Lines.Idle)) {
+		o.controlDone(e, nil, nil)
+	}
+}
+
+func (o *Core) controlDone(e *controlRequest, head *http.Response, body []byte) {
+	if !o.controls[e] {
+		return
+	}
+	delete(o.controls, e)
+	ok := head != nil && head.StatusCode/100 == 2
+	switch {
+	case e.hold != nil:
+		if ok {
+			o.released(e)
+		}
+	case ok:
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
+			Report: o.speaks.Load(head, body)})
+	case head != nil: // it is there, and has no answer now
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Full, Lag: o.now - e.at})
+	default:
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
+	}
+}
--- a/node/core.go
+++ b/node/core.go
@@ -50,7 +50,7 @@
 	partings map[int64]int64
 	dirty    []*Client
 	lines    map[int64]*Line
-	errands  map[*errand]bool
+	controls map[*controlRequest]bool
 	holds    *hold.Table
 	infs     map[int64]*open
 	nextInf  int64
@@ -96,7 +96,7 @@
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
-		errands: map[*errand]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, speaks.ReleasesAnywhere(),
+		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, speaks.ReleasesAnywhere(),
 			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*open{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -445,7 +445,7 @@
 	b.core.ClientGone(c)
 	b.core.LineBroken(s.line) // the release went out on the connection of the read
 	b.core.Turn(b.now)
-	if n := b.core.Holding().Errands; n == 0 {
+	if n := b.core.Holding().Controls; n == 0 {
 		t.Error("nothing is held while a release waits for its second try")
 	}
 }
--- a/node/digest.go
+++ b/node/digest.go
@@ -33,15 +33,15 @@
 		carries := "nothing"
 		if l.send != nil {
 			carries = fmt.Sprint("inf ", l.send.inf.id, " send ", l.send.n)
-		} else if l.errand != nil {
-			carries = "errand " + l.errand.what()
+		} else if l.control != nil {
+			carries = "control " + l.control.what()
 		}
 		rows = append(rows, fmt.Sprintln("line", l.Engine, state, o.now-since, carries, l.restSince > 0, l.socket != nil,
 			l.again, min(o.now-l.wroteAt, atOnce)))
 	}
 	fmt.Fprintln(w, o.pool.HastyFor(o.now))
-	for e := range o.errands {
-		rows = append(rows, fmt.Sprintln("errand", e.engine, e.what(), o.now-e.at))
+	for e := range o.controls {
+		rows = append(rows, fmt.Sprintln("control", e.engine, e.what(), o.now-e.at))
 	}
 	for _, t := range o.timers {
 		if what := o.brain.TimerOf(t.token); what != "" {
@@ -63,8 +63,8 @@
 	fmt.Fprintln(w, o.swept-o.now, o.lives)
 }
 
-// what tells errands apart.
-func (e *errand) what() string {
+// what tells control requests apart.
+func (e *controlRequest) what() string {
 	if e.hold == nil {
 		return "probe"
 	}
@@ -97,7 +97,7 @@
 // BusyLines is how many lines carry something or wait for the rest of an answer.
 func (o *Core) BusyLines() (n int) {
 	for _, l := range o.lines {
-		if l.send != nil || l.errand != nil || l.restSince > 0 || l.socket == nil {
+		if l.send != nil || l.control != nil || l.restSince > 0 || l.socket == nil {
 			n++
 		}
 	}
--- a/node/lines.go
+++ b/node/lines.go
@@ -5,35 +5,21 @@
 	"time"
 
 	"sandcourse/attempt"
-	"sandcourse/brain"
 	"sandcourse/conns"
 	"sandcourse/hold"
 )
 
-// errand is what is asked of an engine beside attempts: a probe, or to release a state.
-type errand struct {
-	engine string
-	hold   *hold.Hold // to be released; nil for a probe
-	round  int        // of the hold's releases
-	fresh  bool       // it is to go on a connection of its own
-	at     int64
-	head   *http.Response
-}
-
-// errandTime is how long one may take: a quarter of the pin limit, and never more than a quarter second.
-func (o *Core) errandTime() int64 { return min(int64(250*time.Millisecond), int64(o.d.Rules.Pin)/4) }
-
-// spareLines are for errands alone, at each engine: while all other lines read, states must still be let go
+// spareLines are for control requests alone, at each engine: while all other lines read, states must still be let go
 // of.
 const spareLines = 2
 
-// carry finds a line for a send or an errand and writes to it, now or once it is connected.
-func (o *Core) carry(engineID string, s *send, e *errand, atMost int64) bool {
+// carry finds a line for an attempt or a control request and writes to it, now or once it is connected.
+func (o *Core) carry(engineID string, s *send, e *controlRequest, atMost int64) bool {
 	spare := 0
 	if e != nil {
 		spare = spareLines
 	}
-	// Errands trust kept lines whatever became of others: a release may be sent twice, and what is written to a line
+	// Control requests trust kept lines whatever became of others: a release may be sent twice, and what is written to a line
 	// that is there reaches an engine that is paused, while a new one does not come up.
 	if s != nil {
 		atMost = o.pool.Trust(engineID, o.now, atMost, !s.writes || o.d.Routes[s.inf.route].Effect == "retriable")
@@ -52,7 +38,7 @@
 		l = &Line{ID: lease.ID, Engine: engineID, Host: o.reach(engineID).Host, dialAt: o.now}
 		o.lines[l.ID] = l
 	}
-	l.send, l.errand, l.again = s, e, lease.Reused
+	l.send, l.control, l.again = s, e, lease.Reused
 	if s != nil {
 		s.line = l
 	}
@@ -80,7 +66,7 @@
 	}
 	l.socket = socket
 	o.pool.Happen(l.ID, conns.Dialled, o.now)
-	if l.send == nil && l.errand == nil {
+	if l.send == nil && l.control == nil {
 		o.pool.Happen(l.ID, conns.Released, o.now)
 		return
 	}
@@ -139,8 +125,8 @@
 		}
 		s.report, s.relay = o.speaks.Load(head, nil), tokens
 		o.happen(s, o.speaks.Sort(head, s.writes), head.Status)
-	case l.errand != nil:
-		l.errand.head = head
+	case l.control != nil:
+		l.control.head = head
 	case l.restSince == 0:
 		o.spoil(l)
 	}
@@ -195,10 +181,10 @@
 			}
 		}
 	}
-	if e := l.errand; e != nil {
-		l.errand = nil
+	if e := l.control; e != nil {
+		l.control = nil
 		l.restSince = o.now
-		o.errandDone(e, e.head, body)
+		o.controlDone(e, e.head, body)
 	}
 	if o.lines[l.ID] != l || l.socket == nil {
 		return
@@ -266,43 +252,13 @@
 		}
 		o.happen(s, in, "the connection is gone")
 	}
-	if e := l.errand; e != nil {
-		l.errand = nil
-		o.errandDone(e, nil, nil)
-	}
-}
-
-// run starts an errand.
-func (o *Core) run(e *errand) {
-	e.at = o.now
-	o.errands[e] = true
-	if !o.carry(e.engine, nil, e, int64(o.d.Lines.Idle)) {
-		o.errandDone(e, nil, nil)
-	}
-}
-
-func (o *Core) errandDone(e *errand, head *http.Response, body []byte) {
-	if !o.errands[e] {
-		return
-	}
-	delete(o.errands, e)
-	ok := head != nil && head.StatusCode/100 == 2
-	switch {
-	case e.hold != nil:
-		if ok {
-			o.released(e)
-		}
-	case ok:
-		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
-			Report: o.speaks.Load(head, body)})
-	case head != nil: // it is there, and has no answer now
-		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Full, Lag: o.now - e.at})
-	default:
-		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.TimedOut, Lag: o.now - e.at})
+	if e := l.control; e != nil {
+		l.control = nil
+		o.controlDone(e, nil, nil)
 	}
 }
 
-// sweepLines ends what waits too long: errands, answers whose rest does not come, idle lines.
+// sweepLines ends what waits too long: control requests, answers whose rest does not come, idle lines.
 func (o *Core) sweepLines() {
 	for _, id := range o.pool.Aged(o.now) {
 		o.pool.Happen(id, conns.Aged, o.now)
@@ -315,7 +271,7 @@
 		}
 		// A second: the rest of an answer that is over is an end of chunks or a short body.
 		if l.restSince > 0 && o.now-l.restSince > int64(time.Second) ||
-			l.errand != nil && o.now-l.errand.at > o.errandTime() ||
+			l.control != nil && o.now-l.control.at > o.controlTime() ||
 			l.socket == nil && o.now-l.dialAt > 2*int64(o.d.Lines.DialTime) {
 			o.spoil(l)
 		}
--- a/node/module.go
+++ b/node/module.go
@@ -102,7 +102,7 @@
 	case brain.ArmTimer:
 		o.after(e.In, timer{token: e.Token, lives: o.lives})
 	case brain.Probe:
-		o.run(&errand{engine: e.Engine})
+		o.startControl(&controlRequest{engine: e.Engine})
 	case brain.Tell:
 		o.wire.Tell(e.To, e.Text)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -115,13 +115,13 @@
 	Engine string
 	Host   string // where it is dialled
 
-	socket    LineSocket // nil while it is dialled
-	send      *send      // what it carries
-	errand    *errand    // or this
-	restSince int64      // what it carried is over, but not read to its end, since then
-	again     bool       // it has carried something before
-	streamed  bool       // its last answer is a stream, as writers give
-	wroteAt   int64      // when its last request was written
+	socket    LineSocket      // nil while it is dialled
+	send      *send           // what it carries
+	control   *controlRequest // or this
+	restSince int64           // what it carried is over, but not read to its end, since then
+	again     bool            // it has carried something before
+	streamed  bool            // its last answer is a stream, as writers give
+	wroteAt   int64           // when its last request was written
 	dialAt    int64
 }
 
@@ -185,7 +185,7 @@
 // Holding is what a node holds now.
 type Holding struct {
 	Clients, Inferences, Bytes, Lines int
-	Errands                           int           // probes and releases under way, and states that are still to be released
+	Controls                          int           // probes and releases under way, and states that are still to be released
 	Held                              int           // states that engines hold, or may hold
 	OldestHold                        time.Duration // how long the oldest of these has been known
 	Stays                             bool          // it is told to stop, and takes calls still
@@ -194,7 +194,7 @@
 // Holding counts.
 func (o *Core) Holding() Holding {
 	clients, _, bytes := o.gate.Holding()
-	h := Holding{Clients: clients, Inferences: len(o.infs), Bytes: bytes, Lines: len(o.lines), Errands: len(o.errands) + o.holds.Owed(),
+	h := Holding{Clients: clients, Inferences: len(o.infs), Bytes: bytes, Lines: len(o.lines), Controls: len(o.controls) + o.holds.Owed(),
 		Held: o.holds.Count(), Stays: o.stopping && o.taking()}
 	if since := o.holds.Oldest(); since > 0 {
 		h.OldestHold = time.Duration(o.now - since)
--- a/node/release.go
+++ b/node/release.go
@@ -101,7 +101,7 @@
 		// Where only one engine can take it, every second try is on a connection of its own.
 		fresh := !o.speaks.ReleasesAnywhere() && len(h.Asked)%2 == 1
 		h.Asked = append(h.Asked, engine)
-		o.run(&errand{engine: engine, hold: h, round: h.Round, fresh: fresh})
+		o.startControl(&controlRequest{engine: engine, hold: h, round: h.Round, fresh: fresh})
 	}
 }
 
@@ -139,7 +139,7 @@
 }
 
 // released takes an engine's acknowledgement.
-func (o *Core) released(e *errand) {
+func (o *Core) released(e *controlRequest) {
 	o.watch.Released(ReleaseAcknowledged)
 	o.holds.Acknowledge(e.hold, e.round, o.now)
 }
--- a/node/rules_test.go
+++ b/node/rules_test.go
@@ -272,7 +272,7 @@
 			w.t.Fatalf("%s: %q behind the answer", c.name, rest)
 		}
 	}
-	if h := w.core.Holding(); h.Inferences > 0 || h.Errands > 0 || len(w.holds) > 0 {
+	if h := w.core.Holding(); h.Inferences > 0 || h.Controls > 0 || len(w.holds) > 0 {
 		w.t.Fatalf("at the end the node holds %+v, engines %d states", h, len(w.holds))
 	}
 }
--- a/prove/mutations_test.go
+++ b/prove/mutations_test.go
@@ -48,7 +48,7 @@
 	{"a lost read's state waits for the end", "node/release.go", "o.addHold(s, hold.ReadLost)",
 		"_ = s.n", "one", "P5 P9 P10"},
 	{"a release is tried once", "hold/hold.go", "t.setDue(h, now+t.backoff(h.unheard))", "t.setDue(h, now+1<<50)", "one", "P5 P9 P10"},
-	{"an errand that hangs is never ended", "node/lines.go", "l.errand != nil && o.now-l.errand.at > o.errandTime()", "false", "one", "P5 P9 P10"},
+	{"a control request that hangs is never ended", "node/lines.go", "l.control != nil && o.now-l.control.at > o.controlTime()", "false", "one", "P5 P9 P10"},
 	{"a stream's break is not told", "node/attempts.go", "o.finish(inf, errored, \"the stream broke: \"+why)", "_ = why", "single", "P1 P9 P10"},
 	{"a stream ends with nothing", "node/inference.go", "\t\to.write(c, last)", "\t\to.write(c, last[len(last)-5:])", "single", "P1"},
 	{"the answered are not forgotten", "node/module.go", "\t\tfor _, inf := range o.answeredNow {\n\t\t\to.forget(inf)\n\t\t}", "", "single", "P9 P10"},
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -18,7 +18,7 @@
 	{"P6", "no send follows the final answer, and none stays out after its client left"},
 	{"P7", "nothing is written to an engine later than the grace after the news of its drain"},
 	{"P8", "a connection carries one thing at a time, and nothing after an unread rest"},
-	{"P9", "at the end no connection is busy, no errand open, no inference remembered"},
+	{"P9", "at the end no connection is busy, no control request open, no inference remembered"},
 	{"P10", "every way comes to an end: nobody waits for what will not happen"},
 	{"P11", "what the module is told proves a send not run did not run"},
 	{"P12", "the module never fails, and nothing is refused within the bounds"},
@@ -156,8 +156,8 @@
 		}
 	}
 	h := s.core.Holding()
-	if h.Inferences+h.Errands+h.Held > 0 || s.core.BusyLines() > 0 {
-		s.say("P9 at the end the node holds %d inferences, %d errands, %d states, %d busy lines", h.Inferences, h.Errands,
+	if h.Inferences+h.Controls+h.Held > 0 || s.core.BusyLines() > 0 {
+		s.say("P9 at the end the node holds %d inferences, %d control requests, %d states, %d busy lines", h.Inferences, h.Controls,
 			h.Held, s.core.BusyLines())
 	}
 }
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -623,7 +623,7 @@
 // quiet is whether nothing is left to happen.
 func (s *sim) quiet() bool {
 	h := s.core.Holding()
-	if h.Inferences > 0 || h.Errands > 0 || h.Held > 0 || len(s.held) > 0 {
+	if h.Inferences > 0 || h.Controls > 0 || h.Held > 0 || len(s.held) > 0 {
 		return false
 	}
 	for _, c := range s.clients {
