--- a/node/attempts.go
+++ b/node/attempts.go
@@ -13,7 +13,7 @@
 
 // send is one send of an inference.
 type send struct {
-	inf       *open
+	inf       *inference
 	n         int
 	engine    string
 	writes    bool
--- a/node/core.go
+++ b/node/core.go
@@ -52,11 +52,11 @@
 	lines    map[int64]*Line
 	controls map[*controlRequest]bool
 	holds    *hold.Table
-	infs     map[int64]*open
+	infs     map[int64]*inference
 	nextInf  int64
 	took     uint64 // rows of attempt's table taken so far, a bit each, from bit 1
 	// answeredNow are those that got their final answer while the present input is carried out.
-	answeredNow []*open
+	answeredNow []*inference
 	stopping    bool
 	stopAt      int64 // when it was told to stop
 	gone        bool  // it has left its clients since
@@ -97,7 +97,7 @@
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
 		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, speaks.ReleasesAnywhere(),
-			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*open{}, answeredAt: map[string]int64{}}
+			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
--- a/node/engines.go
+++ b/node/engines.go
@@ -17,7 +17,7 @@
 
 // reads is whether a send to an engine asks for a read: by its kind, or, where an engine of both roles does not
 // answer what it is asked to read, by whether a state is at hand.
-func (o *Core) reads(engineID string, inf *open) bool {
+func (o *Core) reads(engineID string, inf *inference) bool {
 	switch o.d.Role(o.entry(engineID).Kind) {
 	case "read":
 		return true
--- a/node/inference.go
+++ b/node/inference.go
@@ -12,8 +12,8 @@
 	"sandcourse/limits"
 )
 
-// open is one inference from its arrival until its final answer is out and none of its sends is.
-type open struct {
+// inference is one call of a client from its arrival until its final answer is out and none of its sends is.
+type inference struct {
 	id       int64
 	name     string
 	client   *Client
@@ -79,7 +79,7 @@
 		return
 	}
 	o.nextInf++
-	inf := &open{id: o.nextInf, name: cmp.Or(a.Call.Name, fmt.Sprintf("%s-%x-%d", d.Node, o.epoch, o.nextInf)),
+	inf := &inference{id: o.nextInf, name: cmp.Or(a.Call.Name, fmt.Sprintf("%s-%x-%d", d.Node, o.epoch, o.nextInf)),
 		client: c, asked: a, route: route, at: o.now}
 	patience := d.Routes[route].Timeout
 	if a.Call.GiveUp > 0 {
@@ -111,7 +111,7 @@
 }
 
 // end is the one gate of how an inference ends: the first call counts, and no token passes after it.
-func (o *Core) end(inf *open, final, why string) bool {
+func (o *Core) end(inf *inference, final, why string) bool {
 	if inf.final != "" {
 		return false
 	}
@@ -128,10 +128,10 @@
 }
 
 // timeUp is whether an inference's client is about to give up, or has.
-func (o *Core) timeUp(inf *open) bool { return o.now >= inf.giveUpAt-4*int64(o.d.Tick) }
+func (o *Core) timeUp(inf *inference) bool { return o.now >= inf.giveUpAt-4*int64(o.d.Tick) }
 
 // finish gives the final answer, other than shed, of an inference that the module has taken.
-func (o *Core) finish(inf *open, final, why string) {
+func (o *Core) finish(inf *inference, final, why string) {
 	c := inf.client
 	if !o.end(inf, final, why) || c.gone {
 		return
@@ -155,7 +155,7 @@
 	}
 }
 
-func (o *Core) finishShed(inf *open, again int64) {
+func (o *Core) finishShed(inf *inference, again int64) {
 	if inf.began { // the module never sheds a stream; if it did, a refusal could not be said any more
 		o.finish(inf, errored, "the stream was given up")
 		return
@@ -167,7 +167,7 @@
 }
 
 // clientLeft ends an inference that nobody waits for.
-func (o *Core) clientLeft(inf *open) {
+func (o *Core) clientLeft(inf *inference) {
 	o.end(inf, left, "")
 	o.tell(brain.ClientGone{Inf: inf.id})
 	for _, s := range inf.sends {
@@ -180,7 +180,7 @@
 }
 
 // forget drops an inference that has its final answer and nothing out.
-func (o *Core) forget(inf *open) {
+func (o *Core) forget(inf *inference) {
 	if inf.final == "" {
 		return
 	}
@@ -192,7 +192,7 @@
 	delete(o.infs, inf.id)
 }
 
-func (o *Core) log(inf *open, why string) {
+func (o *Core) log(inf *inference, why string) {
 	f := Final{Inference: inf.name, Route: o.d.Routes[inf.route].Name, Session: inf.asked.Call.Session, Final: inf.final,
 		Took: time.Duration(o.now - inf.at), Prompt: inf.asked.Call.Prompt, Why: why}
 	if inf.began {
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 
 	waiting []*Asked // calls behind the one that is served
 	serving bool
-	current *open
+	current *inference
 	gone    bool
 	last    bool // nothing more is read; it is closed behind the answers to what was
 	parting bool // to be closed once all is written
@@ -177,7 +177,7 @@
 	}
 }
 
-func (o *Core) abandon(inf *open, why string) {
+func (o *Core) abandon(inf *inference, why string) {
 	o.finish(inf, errored, why)
 	o.clientLeft(inf)
 }
--- a/node/release.go
+++ b/node/release.go
@@ -67,9 +67,9 @@
 }
 
 // letGo has all states released that engines hold for an inference.
-func (o *Core) letGo(inf *open) { o.changeHolds(inf, hold.Unwanted) }
+func (o *Core) letGo(inf *inference) { o.changeHolds(inf, hold.Unwanted) }
 
-func (o *Core) changeHolds(inf *open, in hold.Input) {
+func (o *Core) changeHolds(inf *inference, in hold.Input) {
 	for _, h := range o.holds.Attempt(inf.name, in, o.now, o.sinceWhen(), inf.cutUntil) {
 		o.release(h)
 	}
