--- a/edge/back.go
+++ b/edge/back.go
@@ -137,7 +137,7 @@
 		case framing.Head:
 			l.events, l.body, l.relay, l.closes = nil, nil, nil, p.Answer.Close
 			if chat.Streams(p.Answer.Header) {
-				l.events, l.relay = chat.NewDecoder(eventBound), &relay{frame: n.speaks.Event}
+				l.events, l.relay = chat.NewDecoder(eventBound), &relay{frame: n.protocol.Event}
 				l.events.Comment = func(text []byte) {
 					n.in.put(1+len(text), func() { n.core.LineComment(l.core, text) })
 				}
@@ -151,7 +151,7 @@
 		case framing.Body:
 			if l.events != nil {
 				if e := l.events.Feed(p.Data, func(event []byte) {
-					if !n.speaks.Last(event) && l.relay.pass(event, n.clock()) {
+					if !n.protocol.Last(event) && l.relay.pass(event, n.clock()) {
 						return
 					}
 					n.in.put(1+len(event), func() { n.core.LineEvent(l.core, event) })
--- a/edge/front.go
+++ b/edge/front.go
@@ -257,6 +257,6 @@
 
 func (n *Node) readCall(r *http.Request, body []byte) *node.Asked {
 	a := &node.Asked{Request: r, Bytes: len(body)}
-	a.Call, a.Party, a.Wrong = n.speaks.Parse(r, body)
+	a.Call, a.Party, a.Wrong = n.protocol.Parse(r, body)
 	return a
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -42,12 +42,12 @@
 	ids     atomic.Int64
 	opened  atomic.Int64 // see connOpened
 
-	in      *inbox
-	core    *node.Core
-	speaks  dialect.Dialect
-	peers   *peers // nil where nodes tell one another nothing
-	room    *room  // for clients' connections
-	pollers int    // of each side
+	in       *inbox
+	core     *node.Core
+	protocol dialect.Dialect
+	peers    *peers // nil where nodes tell one another nothing
+	room     *room  // for clients' connections
+	pollers  int    // of each side
 	// See barrier: descriptors of each side are used again.
 	frontBarrier, backBarrier barrier
 	front                     *nbio.Engine
@@ -76,9 +76,9 @@
 
 // NewOn makes a node that speaks a dialect.
 func NewOn(d *settings.Deployment, log *zap.Logger, source roster.Source, seed uint64,
-	speaks dialect.Dialect) *Node {
+	protocol dialect.Dialect) *Node {
 	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(d.Inbox),
-		started: time.Now(), done: make(chan struct{}), speaks: speaks, room: newRoom(d.Limits.Conns + 16),
+		started: time.Now(), done: make(chan struct{}), protocol: protocol, room: newRoom(d.Limits.Conns + 16),
 		pollers: defaultPollers}
 	n.epoch = n.started.UnixMilli()
 	n.alive, n.cancel = context.WithCancel(context.Background())
@@ -90,7 +90,7 @@
 		n.source = follow.Planner{Addr: d.Planner, Report: n.report}
 	}
 	n.counts = map[string]*planwire.RouteCount{}
-	n.core = node.New(d, speaks, seed, n.epoch, n.clock(), n, watch{n})
+	n.core = node.New(d, protocol, seed, n.epoch, n.clock(), n, watch{n})
 	return n
 }
 
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -75,16 +75,16 @@
 	to := o.reach(l.Engine)
 	if e := l.control; e != nil {
 		if e.hold != nil {
-			return o.speaks.Release(to, e.hold.ID.Request, e.hold.ID.Attempt), nil
+			return o.protocol.Release(to, e.hold.ID.Request, e.hold.ID.Attempt), nil
 		}
-		return o.speaks.Probe(to), nil
+		return o.protocol.Probe(to), nil
 	}
 	s := l.send
 	inf, left := s.inf, time.Duration(s.inf.giveUpAt-o.now)
 	if s.writes {
-		return o.speaks.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
+		return o.protocol.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
 	}
-	return o.speaks.Read(inf.asked.Call, inf.name, to, s.n, left)
+	return o.protocol.Read(inf.asked.Call, inf.name, to, s.n, left)
 }
 
 // happen is where all socket events of a send end up: its machine judges them, and the outcome, if there is
@@ -160,14 +160,14 @@
 		inf.began, inf.firstAt = true, o.now
 		o.changeHolds(inf, hold.Taken)
 		if inf.whole == nil && inf.final == "" {
-			o.write(inf.client, o.speaks.Open(inf.name))
+			o.write(inf.client, o.protocol.Open(inf.name))
 		}
 		o.watch.First(o.d.Routes[inf.route].Name, time.Duration(o.now-inf.at), inf.asked.Call.Prompt)
 		o.tell(brain.FirstToken{Inf: inf.id, Send: s.n, Engine: s.engine, Lag: o.now - s.at})
 	}
 	inf.tokens++
 	if inf.whole == nil && inf.final == "" {
-		o.write(inf.client, o.speaks.Event(s.token))
+		o.write(inf.client, o.protocol.Event(s.token))
 	}
 	s.token = nil
 }
--- a/node/clients.go
+++ b/node/clients.go
@@ -27,7 +27,7 @@
 	if !ok {
 		// A request may be on its way on it already, and is owed an answer.
 		o.watch.Refused("connections")
-		o.reply(c, nil, o.speaks.Shed(http.StatusServiceUnavailable, "", "this node has all the connections that it may",
+		o.reply(c, nil, o.protocol.Shed(http.StatusServiceUnavailable, "", "this node has all the connections that it may",
 			o.d.RetryAfter))
 	}
 }
@@ -91,7 +91,7 @@
 	c.held = held
 	if id := o.gate.Fattest(); id != 0 {
 		o.watch.Refused("bytes")
-		o.reply(o.clients[id], nil, o.speaks.Shed(http.StatusServiceUnavailable, "", "this node holds all that it may",
+		o.reply(o.clients[id], nil, o.protocol.Shed(http.StatusServiceUnavailable, "", "this node holds all that it may",
 			o.d.RetryAfter))
 	}
 }
@@ -105,7 +105,7 @@
 	}
 	o.watch.Refused("message")
 	// What was asked for before it gets its answers first.
-	wrong := o.speaks.Refusal(status, "bad_message", "", err.Error())
+	wrong := o.protocol.Refusal(status, "bad_message", "", err.Error())
 	c.waiting = append(c.waiting, &Asked{Wrong: &wrong, ends: true})
 	o.next(c)
 }
@@ -155,7 +155,7 @@
 	case a.Call != nil:
 		o.arrive(c, a)
 	default:
-		o.reply(c, a, o.speaks.Page(a.Request, o.unready()))
+		o.reply(c, a, o.protocol.Page(a.Request, o.unready()))
 	}
 }
 
--- a/node/control.go
+++ b/node/control.go
@@ -43,7 +43,7 @@
 		}
 	case ok:
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Completed, Lag: o.now - e.at,
-			Report: o.speaks.Load(head, body)})
+			Report: o.protocol.Load(head, body)})
 	case head != nil: // it is there, and has no answer now
 		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.Full, Lag: o.now - e.at})
 	default:
--- a/node/core.go
+++ b/node/core.go
@@ -26,8 +26,8 @@
 	wire  Wire
 	watch Watch
 	now   int64
-	// speaks is how clients and engines are met; it may keep nothing of its own that changes.
-	speaks dialect.Dialect
+	// protocol is how clients and engines are met; it may keep nothing of its own that changes.
+	protocol dialect.Dialect
 
 	brain  *brain.Brain
 	lives  uint64 // of the module: a panic begins a new one
@@ -90,13 +90,13 @@
 }
 
 // New makes the core of a node that starts at now. Epoch must differ between lives of a node.
-func New(d *settings.Deployment, speaks dialect.Dialect, seed uint64, epoch, now int64, wire Wire,
+func New(d *settings.Deployment, protocol dialect.Dialect, seed uint64, epoch, now int64, wire Wire,
 	watch Watch) *Core {
-	o := &Core{d: d, speaks: speaks, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
+	o := &Core{d: d, protocol: protocol, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
-		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, speaks.ReleasesAnywhere(),
+		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, protocol.ReleasesAnywhere(),
 			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
@@ -151,7 +151,7 @@
 			return // a request has come in this moment
 		}
 	case limits.Heading, limits.Bodying:
-		o.reply(c, nil, o.speaks.Refusal(http.StatusRequestTimeout, "too_slow", "",
+		o.reply(c, nil, o.protocol.Refusal(http.StatusRequestTimeout, "too_slow", "",
 			"the request did not come in time"))
 	default:
 		o.closeClient(c)
--- a/node/engines.go
+++ b/node/engines.go
@@ -24,7 +24,7 @@
 	case "write":
 		return false
 	}
-	return inf.transfer == nil && !o.speaks.MixedAnswers()
+	return inf.transfer == nil && !o.protocol.MixedAnswers()
 }
 
 // entry is what the list says of an engine; nothing of one that is not in it.
--- a/node/inference.go
+++ b/node/inference.go
@@ -44,17 +44,17 @@
 	d := o.d
 	route := d.Route(a.Call.Route)
 	if route < 0 {
-		o.reply(c, a, o.speaks.Refusal(http.StatusNotFound, "model_not_found", "model",
+		o.reply(c, a, o.protocol.Refusal(http.StatusNotFound, "model_not_found", "model",
 			fmt.Sprintf("there is no model route %q", a.Call.Route)))
 		return
 	}
 	if !a.Request.ProtoAtLeast(1, 1) {
-		o.reply(c, a, o.speaks.Refusal(http.StatusHTTPVersionNotSupported, "bad_protocol", "",
+		o.reply(c, a, o.protocol.Refusal(http.StatusHTTPVersionNotSupported, "bad_protocol", "",
 			"calls are taken over HTTP/1.1"))
 		return
 	}
 	if a.Call.Name != "" && !o.names.take(a.Call.Name) {
-		o.reply(c, a, o.speaks.Refusal(http.StatusConflict, "known", "", "an inference has this name already"))
+		o.reply(c, a, o.protocol.Refusal(http.StatusConflict, "known", "", "an inference has this name already"))
 		return
 	}
 	if !o.taking() {
@@ -86,7 +86,7 @@
 		patience = min(patience, a.Call.GiveUp)
 	}
 	inf.giveUpAt = o.now + int64(patience)
-	inf.whole = o.speaks.Collect(a.Call)
+	inf.whole = o.protocol.Collect(a.Call)
 	c.current = inf
 	o.infs[inf.id] = inf
 	session := a.Call.Session
@@ -104,10 +104,10 @@
 func (o *Core) shedCall(c *Client, a *Asked, status int, why string, again time.Duration) {
 	o.watch.Shed(a.Call.Route, a.Call.Prompt)
 	if a.Call.Resumed && o.d.Routes[o.d.Route(a.Call.Route)].Effect != "retriable" {
-		o.reply(c, a, o.speaks.Errored("", why, false))
+		o.reply(c, a, o.protocol.Errored("", why, false))
 		return
 	}
-	o.reply(c, a, o.speaks.Shed(status, "", why, again))
+	o.reply(c, a, o.protocol.Shed(status, "", why, again))
 }
 
 // end is the one gate of how an inference ends: the first call counts, and no token passes after it.
@@ -138,12 +138,12 @@
 	}
 	switch {
 	case final == completed && inf.whole != nil:
-		o.reply(c, inf.asked, o.speaks.Whole(inf.asked.Call, inf.name, inf.whole))
+		o.reply(c, inf.asked, o.protocol.Whole(inf.asked.Call, inf.name, inf.whole))
 	case inf.began && inf.whole == nil, final == completed:
 		if !inf.began { // an answer without a token
-			o.write(c, o.speaks.Open(inf.name))
+			o.write(c, o.protocol.Open(inf.name))
 		}
-		last, keep := o.speaks.Close(final == completed, why)
+		last, keep := o.protocol.Close(final == completed, why)
 		o.write(c, last)
 		if !keep {
 			o.cut(c)
@@ -151,7 +151,7 @@
 		}
 		o.answered(c, inf.asked, !inf.asked.Request.Close)
 	default:
-		o.reply(c, inf.asked, o.speaks.Errored(inf.name, why, o.timeUp(inf)))
+		o.reply(c, inf.asked, o.protocol.Errored(inf.name, why, o.timeUp(inf)))
 	}
 }
 
@@ -161,7 +161,7 @@
 		return
 	}
 	if c := inf.client; o.end(inf, shed, "") && !c.gone {
-		o.reply(c, inf.asked, o.speaks.Shed(http.StatusServiceUnavailable, inf.name, "it would not be answered in time",
+		o.reply(c, inf.asked, o.protocol.Shed(http.StatusServiceUnavailable, inf.name, "it would not be answered in time",
 			time.Duration(again)))
 	}
 }
--- a/node/lines.go
+++ b/node/lines.go
@@ -123,8 +123,8 @@
 			o.happen(s, attempt.Garbled, "a second head")
 			return
 		}
-		s.report, s.relay = o.speaks.Load(head, nil), tokens
-		o.happen(s, o.speaks.Sort(head, s.writes), head.Status)
+		s.report, s.relay = o.protocol.Load(head, nil), tokens
+		o.happen(s, o.protocol.Sort(head, s.writes), head.Status)
 	case l.control != nil:
 		l.control.head = head
 	case l.restSince == 0:
@@ -138,7 +138,7 @@
 	if s == nil {
 		return
 	}
-	if o.speaks.Last(event) {
+	if o.protocol.Last(event) {
 		o.happen(s, attempt.Finished, "")
 		return
 	}
@@ -159,7 +159,7 @@
 
 // LineComment takes a comment of a stream, which may be the engine's load report.
 func (o *Core) LineComment(l *Line, text []byte) {
-	if report := o.speaks.Comment(text); report != nil && l.send != nil {
+	if report := o.protocol.Comment(text); report != nil && l.send != nil {
 		l.send.report = report
 	}
 }
@@ -169,10 +169,10 @@
 	if s := l.send; s != nil {
 		switch {
 		case s.writes:
-			in, why := o.speaks.Cut(s.machine.Began)
+			in, why := o.protocol.Cut(s.machine.Began)
 			o.happen(s, in, why)
 		default:
-			t, kept, err := o.speaks.Held(body)
+			t, kept, err := o.protocol.Held(body)
 			if err != nil {
 				o.happen(s, attempt.Garbled, err.Error())
 			} else {
--- a/node/release.go
+++ b/node/release.go
@@ -99,7 +99,7 @@
 	}
 	for _, engine := range o.releaseTargets(h, first) {
 		// Where only one engine can take it, every second try is on a connection of its own.
-		fresh := !o.speaks.ReleasesAnywhere() && len(h.Asked)%2 == 1
+		fresh := !o.protocol.ReleasesAnywhere() && len(h.Asked)%2 == 1
 		h.Asked = append(h.Asked, engine)
 		o.startControl(&controlRequest{engine: engine, hold: h, round: h.Round, fresh: fresh})
 	}
@@ -108,7 +108,7 @@
 // releaseTargets are the engines that a release goes to now. Where any engine takes releases, that is the one that
 // holds the state, and with it one that the node has a connection to; then those that answered last, as they run.
 func (o *Core) releaseTargets(h *hold.Hold, first bool) []string {
-	if !o.speaks.ReleasesAnywhere() || o.list == nil {
+	if !o.protocol.ReleasesAnywhere() || o.list == nil {
 		return []string{h.Engine}
 	}
 	var row []string
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -195,13 +195,13 @@
 	return c
 }
 
-// speaks is the chat API's: it keeps nothing that changes.
-var speaks = chatline.New(nil)
+// protocol is the chat API's: it keeps nothing that changes.
+var protocol = chatline.New(nil)
 
 // begin starts a life of the node.
 func (s *sim) begin() {
 	s.life++
-	s.core = node.New(s.d, speaks, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
+	s.core = node.New(s.d, protocol, uint64(s.life+16*s.node), int64(s.life), s.now, s, watch{s})
 }
 
 // kill ends the node outright and starts it anew with its last list. What it held is its clients' loss and
