--- a/node/clients.go
+++ b/node/clients.go
@@ -54,7 +54,7 @@
 	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
 		c := o.clients[id]
 		switch {
-		case c.parting:
+		case c.closing:
 			if !c.Socket.Drained() {
 				busy++
 			}
@@ -112,7 +112,7 @@
 
 // Ask takes a whole request of a client.
 func (o *Core) Ask(c *Client, a *Asked) {
-	if c.gone || c.parting {
+	if c.gone || c.closing {
 		return
 	}
 	o.gate.Hold(c.ID, a.Bytes-c.held)
@@ -129,7 +129,7 @@
 
 // next serves what a client has asked for, one after the other.
 func (o *Core) next(c *Client) {
-	for !c.serving && !c.gone && !c.parting && len(c.waiting) > 0 {
+	for !c.serving && !c.gone && !c.closing && len(c.waiting) > 0 {
 		a := c.waiting[0]
 		c.waiting = c.waiting[1:]
 		c.serving = true
@@ -140,7 +140,7 @@
 	}
 	if !c.serving && !c.gone && len(c.waiting) == 0 {
 		o.gate.Happen(c.ID, limits.Answered, o.now)
-		if c.last && !c.parting {
+		if c.last && !c.closing {
 			o.part(c)
 		}
 	}
@@ -180,7 +180,7 @@
 		o.gate.Hold(c.ID, -a.Bytes)
 	}
 	c.serving, c.current = false, nil
-	if !keep || c.parting {
+	if !keep || c.closing {
 		o.part(c)
 		return
 	}
@@ -190,10 +190,10 @@
 // part closes a connection once all is written. What still comes in is read and dropped: closing with bytes
 // unread would reset the connection, and the client might lose its answer.
 func (o *Core) part(c *Client) {
-	c.parting = true
+	c.closing = true
 	c.Socket.StopReading()
 	o.gate.Happen(c.ID, limits.Part, o.now)
-	o.partings[c.ID] = o.now
+	o.closing[c.ID] = o.now
 	o.flush(c)
 }
 
@@ -222,18 +222,18 @@
 	}
 }
 
-// closeParting closes what has written all, or has been given up: half a second for the client to hang up
+// closeWritten closes what has written all, or has been given up: half a second for the client to hang up
 // first.
-func (o *Core) closeParting() {
-	for id, at := range o.partings {
+func (o *Core) closeWritten() {
+	for id, at := range o.closing {
 		c := o.clients[id]
 		if c == nil {
-			delete(o.partings, id)
+			delete(o.closing, id)
 			continue
 		}
 		written := c.Socket.Drained()
 		if written && (c.cut || o.now-at > int64(500*time.Millisecond)) || o.now-at > int64(o.d.Limits.DrainTime) {
-			delete(o.partings, id)
+			delete(o.closing, id)
 			c.Socket.Close()
 		}
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -47,7 +47,7 @@
 	pool       *conns.Pool
 
 	clients  map[int64]*Client
-	partings map[int64]int64
+	closing  map[int64]int64
 	dirty    []*Client
 	lines    map[int64]*Line
 	controls map[*controlRequest]bool
@@ -95,7 +95,7 @@
 	o := &Core{d: d, protocol: protocol, seed: seed, epoch: epoch, wire: wire, watch: watch, now: now, told: attempt.Told{},
 		gate: limits.New(d.Limits), again: limits.NewRetries(d.Limits.Retries), pool: conns.New(conns.Bounds{PerEngine: d.Lines.PerEngine,
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
-		clients: map[int64]*Client{}, partings: map[int64]int64{}, lines: map[int64]*Line{},
+		clients: map[int64]*Client{}, closing: map[int64]int64{}, lines: map[int64]*Line{},
 		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, protocol.ReleasesAnywhere(),
 			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
@@ -122,7 +122,7 @@
 	o.leave()
 	o.handOver()
 	o.sweepLines()
-	o.closeParting()
+	o.closeWritten()
 	for _, due := range o.gate.Due(o.now) {
 		o.endOverdue(o.clients[due.ID], due.State)
 	}
--- a/node/digest.go
+++ b/node/digest.go
@@ -55,7 +55,7 @@
 	io.WriteString(w, strings.Join(rows, ""))
 	for _, id := range slices.Sorted(maps.Keys(o.clients)) {
 		c := o.clients[id]
-		fmt.Fprintln(w, "client", id, c.serving, c.gone, c.parting, len(c.waiting))
+		fmt.Fprintln(w, "client", id, c.serving, c.gone, c.closing, len(c.waiting))
 	}
 	for _, engine := range slices.Sorted(maps.Keys(o.told)) {
 		fmt.Fprintln(w, "told", engine, o.now-o.told[engine])
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,7 @@
 	current *inference
 	gone    bool
 	last    bool // nothing more is read; it is closed behind the answers to what was
-	parting bool // to be closed once all is written
+	closing bool // to be closed once all is written
 	cut     bool // and at once: its answer broke
 	out     []byte
 	dirty   bool
