The kernel is asked whether a client has gone before anything is sent on for it

By reading: Gone knew of a close only after the connection's poller had seen it. In a process that was not run for a while the owner may run first, with an engine's answer at hand, and begin an attempt for a client that closed long ago; there are no free cases of that. poll(2) with no wait tells. The test holds the poller and fails without.

--- a/edge/crossing_test.go
+++ b/edge/crossing_test.go
@@ -267,6 +267,33 @@
 	}
 }
 
+// A client closes, and its poller has not come to it, as in a process that was not run for a while: what the owner does
+// first is late all the same, and nothing may be sent on.
+func TestClientGoneBeforeItsPollerIsRun(t *testing.T) {
+	gate := make(chan struct{})
+	reader := newBox(t, "127.0.0.2", func(int, *http.Request) (string, bool) {
+		<-gate
+		return heldWire, false
+	})
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	n := newOnPlatform(t, 1024, nil, reader, writer)
+	s := newStop(n, edge.Readable)
+	startReady(t, n)
+	defer n.Stop()
+	defer close(s.free) // before that: the node waits for its pollers
+	client := dial(t, n)
+	client.send(wire("a", "chat"))
+	until(t, "it is read", func() bool { return reader.saw("POST") == 1 })
+	s.set.Store(true)
+	client.conn.Close()
+	s.wait(t)
+	close(gate)
+	until(t, "the state is let go of", func() bool { return reader.saw("DELETE /v1/holds/a") > 0 })
+	if writer.saw("POST") != 0 {
+		t.Errorf("%d attempts after the client has gone", writer.saw("POST"))
+	}
+}
+
 // A reader's answer has been read, the owner has not been told, and the client goes. Nothing is written on, and the
 // state that the answer names is let go of all the same.
 func TestAnswerBehindAClientThatHasGone(t *testing.T) {
--- a/edge/front.go
+++ b/edge/front.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"sandcourse/framing"
 	"sandcourse/limits"
@@ -54,9 +55,19 @@
 // StopReading is node.ClientSocket's.
 func (c *client) StopReading() { c.discards.Store(true) }
 
-// Gone is node.ClientSocket's. The socket library marks a connection as closed at once and tells of it later, from a
-// goroutine of its own.
+// Gone is node.ClientSocket's. The socket library marks a connection as closed once its poller has seen the end, and tells
+// of it later. Where the poller has not come to it, as in a process that was not run for a while, the kernel knows.
 func (c *client) Gone() bool {
+	if c.ended() {
+		return true
+	}
+	ask := []unix.PollFd{{Fd: int32(c.conn.Hash()), Events: unix.POLLRDHUP}}
+	ready, err := unix.Poll(ask, 0)
+	return err == nil && ready > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// ended is whether this side has seen the connection's end.
+func (c *client) ended() bool {
 	closed, _ := c.conn.IsClosed()
 	return closed
 }
@@ -83,7 +94,7 @@
 func (c *client) decideClose() (events []event, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.discards.Load() || c.Gone() {
+	if c.closed || c.discards.Load() || c.ended() {
 		c.closed = true
 		return nil, true
 	}
