--- a/hold/hold_test.go
+++ b/hold/hold_test.go
@@ -87,6 +87,9 @@
 			}
 			releases, last = releases+1, now
 			table.Acknowledge(h, h.Round, now)
+			if owed := table.Owed(); (owed > 0) != (releases < 2) {
+				t.Errorf("%d owed after %d releases", owed, releases)
+			}
 		}
 	}
 	if releases < 4 || last < start+2*second {
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -589,3 +589,20 @@
 		}
 	}
 }
+
+// One engine that hangs must not cost the time of the next try: a release goes to two engines at once where connections
+// are there.
+func TestReleaseGoesToTwoEnginesAtOnce(t *testing.T) {
+	b, c, writer := writeOut(t, "chat")
+	b.full(writer) // its connection rests now, as the reader's does
+	b.core.Begin(b.now)
+	b.core.ClientGone(c)
+	b.core.Turn(b.now)
+	told := map[string]int{}
+	for _, s := range b.lines {
+		told[s.line.Engine] += strings.Count(s.wrote.String(), "DELETE /v1/holds/a1 ")
+	}
+	if told["r"] != 1 || told["w"] != 1 {
+		t.Errorf("told at once: %v", told)
+	}
+}
