--- a/conns/conns.go
+++ b/conns/conns.go
@@ -132,7 +132,7 @@
 			}
 		}
 	}
-	if youngest != nil && now-youngest.since < min(atMost, p.bounds.IdleNs) {
+	if youngest != nil && p.young(youngest, now, atMost) {
 		p.Happen(youngest.id, Taken, now)
 		return Lease{ID: youngest.id, Reused: true, OK: true}
 	}
@@ -205,10 +205,15 @@
 // Rests is whether a connection to an engine lies idle that Take would use again.
 func (p *Pool) Rests(engine string, now, atMost int64) bool {
 	return slices.ContainsFunc(p.of[engine], func(c *conn) bool {
-		return c.state == Idle && now >= c.settle && now-c.since < min(atMost, p.bounds.IdleNs)
+		return c.state == Idle && now >= c.settle && p.young(c, now, atMost)
 	})
 }
 
+// young is whether an idle connection has not lain for too long to be used again.
+func (p *Pool) young(c *conn, now, atMost int64) bool {
+	return now-c.since < min(atMost, p.bounds.IdleNs)
+}
+
 // Happen takes an input for one connection. What fits no line changes nothing and needs nothing.
 func (p *Pool) Happen(id int64, in Input, now int64) Effect {
 	c := p.conns[id]
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -411,12 +411,3 @@
 		Shared: shared,
 	}
 }
-
-// Rows names the rows of the table.
-func Rows() []string {
-	names := make([]string, len(transitions))
-	for i, r := range transitions {
-		names[i] = fmt.Sprintf("hold row %d: states %v, input %d, next %d", i+1, r.from, r.in, r.next)
-	}
-	return names
-}
