Signals are caught from the first moment to the last; the log is written aside

Cause: signal.Notify for SIGHUP stood behind the reading of the configuration and the making of sockets (platform.go); SIGPIPE was never asked for, so a write to standard error whose reader has ended killed the process; zap wrote to standard error on the owner's goroutine; NotifyContext's stop() gave the second SIGTERM its default action back; the loop that read SIGHUP ended with the first SIGTERM, and passed over a configuration that could not be read. Change: catchSignals is the first that main does; package logsink writes lines on a goroutine of its own and counts those dropped; reloader reads until the configuration can be read, also during shutdown, and never waits for the agent.

--- a/cmd/sandcourse-edge/fleet_test.go
+++ b/cmd/sandcourse-edge/fleet_test.go
@@ -151,8 +151,9 @@
 }
 
 func (p *processes) awaitReady(addr string) {
+	client := &http.Client{Timeout: time.Second} // a node that hangs is not ready
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		answer, err := http.Get("http://" + addr + platform.HealthPath)
+		answer, err := client.Get("http://" + addr + platform.HealthPath)
 		if err != nil {
 			continue
 		}
--- a/cmd/sandcourse-edge/main.go
+++ b/cmd/sandcourse-edge/main.go
@@ -20,14 +20,15 @@
 )
 
 func main() {
+	asked := catchSignals()
 	var file, config string
 	c := &cobra.Command{Use: "sandcourse-edge --settings FILE | --config FILE", Short: "One node of sandcourse", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
 			if config != "" {
-				return onPlatform(config)
+				return onPlatform(config, asked)
 			}
-			return run(file)
+			return run(file, asked)
 		}}
 	c.Flags().StringVar(&file, "settings", "", "the settings script")
 	c.Flags().StringVar(&config, "config", "", "the operators' platform's configuration, in place of a script")
@@ -43,23 +44,26 @@
 	}
 }
 
-func run(file string) error {
+func run(file string, asked signals) error {
 	d, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	log, err := zap.NewProduction()
-	if err != nil {
-		return err
-	}
+	log := newLog()
 	defer log.Sync()
 	n := edge.New(d, log, nil, uint64(time.Now().UnixNano()))
 	if err := n.Start(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	<-ctx.Done()
-	stop() // a second signal ends it at once
+	for running := true; running; {
+		select {
+		case <-asked.stop:
+			running = false
+		case <-asked.reload:
+			log.Warn("SIGHUP: a settings script is read at the start alone; restart the node to change it")
+		}
+	}
+	signal.Reset(syscall.SIGTERM, os.Interrupt) // a second one ends it at once
 	if err := n.Drain(context.Background()); err != nil {
 		log.Warn("stopped with inferences open", zap.Error(err))
 	}
--- a/cmd/sandcourse-edge/platform.go
+++ b/cmd/sandcourse-edge/platform.go
@@ -6,10 +6,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -36,8 +34,9 @@
 	return platform.ReadTold(file, data)
 }
 
-// onPlatform runs the node that the platform's configuration describes.
-func onPlatform(file string) error {
+// onPlatform runs the node that the platform's configuration describes, until SIGTERM. A further SIGTERM changes nothing:
+// the node is ending, and the platform has SIGKILL for what it does not want to wait for.
+func onPlatform(file string, asked signals) error {
 	told, err := readTold(file)
 	if err != nil {
 		return err
@@ -50,10 +49,7 @@
 	debug.SetMemoryLimit(int64(told.Memory()) * 3 / 5)
 	// More than the one core: a poller that waits for sockets must not keep the owner from running.
 	runtime.GOMAXPROCS(4)
-	log, err := zap.NewProduction()
-	if err != nil {
-		return err
-	}
+	log := newLog()
 	defer log.Sync()
 	at := make(chan string, 1)
 	at <- told.Discovery
@@ -62,27 +58,14 @@
 	if err := n.HearPeers(told.PeerListen, told.Peers, told.PeersAll); err != nil {
 		return err
 	}
-	anew := make(chan os.Signal, 1)
-	signal.Notify(anew, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	if err := n.Start(); err != nil {
 		return err
 	}
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-anew:
-			// Only where discovery is may change in a running node; all else takes a restart.
-			t, err := readTold(file)
-			if err != nil {
-				log.Warn("the configuration is not read anew", zap.Error(err))
-				continue
-			}
-			log.Info("configuration read anew", zap.String("discovery", t.Discovery))
-			at <- t.Discovery
-		}
-	}
-	stop()
+	reloads := &reloader{file: file, reload: asked.reload, at: at, log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reloads.run(ctx)
+	<-asked.stop
 	if err := n.Drain(context.Background()); err != nil {
 		log.Warn("stopped with inferences open", zap.Error(err))
 	}
--- a/cmd/sandcourse-edge/signals_test.go
+++ b/cmd/sandcourse-edge/signals_test.go
@@ -19,8 +19,9 @@
 	"sandcourse/standin/platformengine"
 )
 
-// emptyList is a list of discovery without engines.
-const emptyList = `{"generation":1,"reset":true,"instances":[]}`
+// someList is a list of discovery with one engine, where nobody listens.
+const someList = `{"generation":1,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a",
+ "machineType":"read","cell":0,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]}`
 
 // freeAddress is an address on loopback on which nobody listens.
 func freeAddress(t *testing.T) string {
@@ -51,7 +52,7 @@
 	}
 	node := exec.Command(edgeBinary(t), "--config", config)
 	startCommand(t, node)
-	text := fmt.Sprintf(nodeConfig, 0, listen, freeAddress(t), 1, emptyList, 0, 1)
+	text := fmt.Sprintf(nodeConfig, 0, listen, freeAddress(t), 1, someList, 0, 1)
 	writer, err := os.OpenFile(config, os.O_WRONLY, 0) // returns once the node has opened the other end
 	if err != nil {
 		t.Fatal(err)
@@ -167,7 +168,7 @@
 	}
 	time.Sleep(50 * time.Millisecond) // the node must have taken it; nothing outside shows that
 	var asked atomic.Int64
-	other := newAgent(t, emptyList, &asked)
+	other := newAgent(t, someList, &asked)
 	text, err := os.ReadFile(p.configs[0])
 	if err != nil {
 		t.Fatal(err)
@@ -189,7 +190,7 @@
 func TestHalfWrittenConfiguration(t *testing.T) {
 	p, node := startOne(t, nil)
 	var asked atomic.Int64
-	other := newAgent(t, emptyList, &asked)
+	other := newAgent(t, someList, &asked)
 	text, err := os.ReadFile(p.configs[0])
 	if err != nil {
 		t.Fatal(err)
