--- a/discover/discover_test.go
+++ b/discover/discover_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,3 +79,121 @@
 	cancel()
 	<-over
 }
+
+// agentRun follows an agent at one address until the test ends; what it takes goes to heard.
+func agentRun(t *testing.T, address string) (heard chan roster.List) {
+	heard = make(chan roster.List, 64)
+	at := make(chan string, 1)
+	at <- address
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		Agent{At: at}.Run(ctx, func(l roster.List) {
+			select {
+			case heard <- l:
+			default: // the test has seen enough
+			}
+		}, func(error) {})
+	}()
+	t.Cleanup(func() { cancel(); <-over })
+	return heard
+}
+
+// A crowded agent sends its list steadily, and needs longer for it than a call may be held.
+func TestSlowList(t *testing.T) {
+	address := agentAt(t, func(query string, w http.ResponseWriter, r *http.Request) {
+		if query != "" {
+			<-r.Context().Done()
+			return
+		}
+		whole := list(5, true, "a", "SERVING")
+		for i := range whole {
+			fmt.Fprint(w, whole[i:i+1])
+			w.(http.Flusher).Flush()
+			time.Sleep((wait + late + 600*time.Millisecond) / time.Duration(len(whole)))
+		}
+	})
+	select {
+	case <-agentRun(t, address):
+	case <-time.After(8 * time.Second):
+		t.Fatal("a list that comes steadily is never taken")
+	}
+}
+
+// An answer that stops in its middle is given up soon, and asked for again.
+func TestListThatStops(t *testing.T) {
+	var calls atomic.Int64
+	address := agentAt(t, func(query string, w http.ResponseWriter, r *http.Request) {
+		whole := list(5, true, "a", "SERVING")
+		if calls.Add(1) == 1 {
+			fmt.Fprint(w, whole[:20])
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, whole)
+	})
+	select {
+	case <-agentRun(t, address):
+	case <-time.After(4 * time.Second):
+		t.Fatal("a list that stopped is not asked for again in time")
+	}
+}
+
+// An agent that answers at once with nothing new must not be asked without a pause, whether it sends no changes, the same
+// whole list again, or changes of a generation that has gone back.
+func TestAnswersWithoutNews(t *testing.T) {
+	for name, answer := range map[string]string{
+		"nothing":        `{"generation":5,"reset":false,"instances":[]}`,
+		"the same list":  list(5, true, "a", "SERVING"),
+		"an older state": `{"generation":3,"reset":false,"instances":[]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var calls atomic.Int64
+			address := agentAt(t, func(query string, w http.ResponseWriter, _ *http.Request) {
+				calls.Add(1)
+				if query == "" {
+					fmt.Fprint(w, list(5, true, "a", "SERVING"))
+					return
+				}
+				fmt.Fprint(w, answer)
+			})
+			<-agentRun(t, address)
+			const looked = time.Second
+			time.Sleep(looked) // what is counted is calls in a time
+			if most := 3 * int64(looked/again); calls.Load() > most {
+				t.Errorf("%d calls in %v, at most %d are fine", calls.Load(), looked, most)
+			}
+		})
+	}
+}
+
+// The store of discovery was restored: its generation has gone back, and what it holds now counts.
+func TestGenerationGoesBack(t *testing.T) {
+	var restored atomic.Bool
+	address := agentAt(t, func(query string, w http.ResponseWriter, r *http.Request) {
+		switch {
+		case !restored.Load():
+			fmt.Fprint(w, list(50, true, "a", "SERVING"))
+			restored.Store(true)
+		case query == "":
+			fmt.Fprint(w, list(3, true, "b", "SERVING"))
+		case strings.HasPrefix(query, "index=50&"):
+			fmt.Fprint(w, list(3, false, "a", "DELETED"))
+		default:
+			<-r.Context().Done()
+		}
+	})
+	heard := agentRun(t, address)
+	for {
+		select {
+		case l := <-heard:
+			if l.Revision == 3 && l.Engines[0].Engine == "b" {
+				return
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("the list of the restored store is never taken")
+		}
+	}
+}
