Discovery: answers may take long while they go on, calls without news are paced, a restored store is heard

Cause: discover.ask bounded a whole call by 1.9 s; discover.follow asked again at once behind any good answer; catalog.Take passed over changes of an older generation and Query never asked for the whole. follow.stream took time.Now for the node's clock, and each plan moved the estimated starts a little, which brain.keepList takes for new starts: all that was remembered of engines was dropped. Change: silence of 1 s ends an answer that has begun, 30 s bound it; 100 ms between calls that bring nothing; whole list after an older generation; an unchanged list is not handed on; starts of a plan are settled on their first estimate, on the node's clock.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,7 @@
 type Catalog struct {
 	generation int64
 	engines    map[string]roster.Entry
+	wantsWhole bool // what is known is of another history than discovery's
 }
 
 type entry struct {
@@ -40,7 +41,8 @@
 	Started int64       `json:"startedAtMs"`
 }
 
-// Take takes an answer of discovery. News says whether anything may have changed. An entry that makes no
+// Take takes an answer of discovery. News says whether anything has changed. A generation that has gone back is that of a
+// store which was restored: its changes do not follow what is known, so the whole list is asked for. An entry that makes no
 // sense is left out, as if it were gone, and named in odd: one bad line must not hide the drain of another
 // engine.
 func (c *Catalog) Take(answer []byte) (news bool, odd []string, err error) {
@@ -62,13 +64,23 @@
 		return false, nil, fmt.Errorf("changes came before a whole list")
 	}
 	if !a.Whole && *a.Generation <= c.generation {
+		c.wantsWhole = *a.Generation < c.generation
 		return false, nil, nil // nothing new, or changes that are known
 	}
+	before, generation := c.engines, c.generation
+	c.engines, c.wantsWhole = maps.Clone(c.engines), false
 	if a.Whole {
 		c.engines = map[string]roster.Entry{}
 	}
 	c.generation = *a.Generation
-	for _, line := range a.Entries {
+	odd = c.put(a.Entries)
+	news = before == nil || c.generation != generation || !maps.Equal(before, c.engines)
+	return news, odd, nil
+}
+
+// put takes the entries of an answer, and names those that make no sense.
+func (c *Catalog) put(entries []json.RawMessage) (odd []string) {
+	for _, line := range entries {
 		var e entry
 		if json.Unmarshal(line, &e) != nil {
 			// A field of a wrong kind leaves the others as they are read, so its name may still be known.
@@ -92,7 +104,7 @@
 		c.engines[e.ID] = roster.Entry{Engine: e.ID, Host: e.Host, Kind: e.Kind, Zone: e.Zone, Cell: e.Cell.String(),
 			Weight: max(0, e.Weight), State: state, UpSince: e.Started}
 	}
-	return true, odd, nil
+	return odd
 }
 
 // List is the present list, by id.
@@ -107,7 +119,7 @@
 // Query is what to ask next: what is newer than what is known, within so many milliseconds, or the whole
 // list.
 func (c *Catalog) Query(waitMs int) string {
-	if c.engines == nil {
+	if c.engines == nil || c.wantsWhole {
 		return ""
 	}
 	return "?index=" + strconv.FormatInt(c.generation, 10) + "&wait=" + strconv.Itoa(waitMs)
--- a/discover/discover.go
+++ b/discover/discover.go
@@ -30,13 +30,21 @@
 // late is how long after the wait an answer still comes from an agent that works.
 const late = 400 * time.Millisecond
 
-// again is how long after a call that failed the next one follows: an agent is on the node's own machine.
+// again is how long after a call that failed, or that brought nothing new, the next one follows at the earliest. An agent
+// is on the node's own machine, and a watch goes on if the next call arrives within twice that time.
 const again = 100 * time.Millisecond
 
+// quiet is how long an answer that has begun may bring nothing before it counts as broken, and longest bounds it in all: a
+// crowded agent takes its time for a long list.
+const (
+	quiet   = time.Second
+	longest = 30 * time.Second
+)
+
 // Run is roster.Source's.
 func (a Agent) Run(ctx context.Context, take func(roster.List), fault func(error)) {
 	known := &catalog.Catalog{}
-	hear := func(answer []byte) error {
+	hear := func(answer []byte) (bool, error) {
 		news, odd, err := known.Take(answer)
 		if len(odd) > 0 {
 			fault(fmt.Errorf("entries that make no sense are left out: %q", odd))
@@ -44,10 +52,10 @@
 		if news {
 			take(known.List())
 		}
-		return err
+		return news, err
 	}
 	if len(a.Known) > 0 {
-		if err := hear(a.Known); err != nil {
+		if _, err := hear(a.Known); err != nil {
 			fault(fmt.Errorf("the list known from before: %w", err))
 		}
 	}
@@ -75,36 +83,48 @@
 }
 
 // follow asks one agent until ctx ends. The first question is for the whole list, whatever is known.
-func follow(ctx context.Context, at string, known *catalog.Catalog, hear func([]byte) error, fault func(error)) {
+func follow(ctx context.Context, at string, known *catalog.Catalog, hear func([]byte) (bool, error), fault func(error)) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	defer client.CloseIdleConnections()
 	query, said := "", ""
 	for ctx.Err() == nil {
+		begun := time.Now()
+		news := false
 		answer, err := ask(ctx, client, "http://"+at+Path+query)
 		if err == nil {
-			err = hear(answer)
+			news, err = hear(answer)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
+		pause := again
+		switch {
+		case err == nil:
 			query, said = known.Query(int(wait.Milliseconds())), ""
-			continue
-		}
-		if err.Error() != said {
+			if pause -= time.Since(begun); news {
+				pause = 0
+			}
+		case err.Error() != said:
 			said = err.Error()
 			fault(fmt.Errorf("discovery %s: %w; the list before stays", at, err))
 		}
+		if pause <= 0 {
+			continue
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(again):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// ask makes one call. The agent has the time of the watch to begin its answer; after that the answer may take longer, as
+// long as it goes on.
 func ask(ctx context.Context, client *http.Client, url string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+late)
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
+	silence := time.AfterFunc(wait+late, cancel)
+	defer silence.Stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -114,7 +134,8 @@
 		return nil, err
 	}
 	defer answer.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, catalog.MaxAnswer+1))
+	silence.Reset(quiet)
+	body, err := io.ReadAll(io.LimitReader(watchedReader{answer.Body, silence}, catalog.MaxAnswer+1))
 	switch {
 	case err != nil:
 		return nil, err
@@ -123,3 +144,17 @@
 	}
 	return body, nil
 }
+
+// watchedReader puts the end of the silence off at each read that brings something.
+type watchedReader struct {
+	from    io.Reader
+	silence *time.Timer
+}
+
+func (r watchedReader) Read(into []byte) (int, error) {
+	n, err := r.from.Read(into)
+	if n > 0 {
+		r.silence.Reset(quiet)
+	}
+	return n, err
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -87,7 +87,7 @@
 		n.source = roster.File{Path: d.Roster}
 	}
 	if n.source == nil && d.Planner != "" {
-		n.source = follow.Planner{Addr: d.Planner, Report: n.report}
+		n.source = follow.Planner{Addr: d.Planner, Report: n.report, Now: func() int64 { return n.clock() / int64(time.Millisecond) }}
 	}
 	n.counts = map[string]*planwire.RouteCount{}
 	n.core = node.New(d, protocol, seed, n.epoch, n.clock(), n, watch{n})
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -25,12 +25,14 @@
 	Report func(ctx context.Context) (planwire.EdgeReport, error) // the edge's counts; nil to send none
 	Every  time.Duration                                          // between two reports; 0 for a second
 	Quiet  time.Duration                                          // a stream that says nothing for longer is given up; 0 for 5 s
+	Now    func() int64                                           // the node's clock in Unix milliseconds; nil for the machine's
 }
 
 // last is the newest plan taken, over all streams.
 type last struct {
-	mu   sync.Mutex
-	plan planwire.Plan
+	mu     sync.Mutex
+	plan   planwire.Plan
+	starts starts // used by the one stream alone
 }
 
 // Run is roster.Source's.
@@ -42,7 +44,10 @@
 	if quiet <= 0 {
 		quiet = 5 * time.Second
 	}
-	l := &last{}
+	if p.Now == nil {
+		p.Now = func() int64 { return time.Now().UnixMilli() }
+	}
+	l := &last{starts: starts{}}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
 	var all sync.WaitGroup
@@ -110,7 +115,9 @@
 				plan.Number)
 		}
 		if newer {
-			take(plan.List(time.Now().UnixMilli()))
+			list := plan.List(p.Now())
+			l.starts.settle(&list)
+			take(list)
 		}
 	}
 	if err := lines.Err(); err != nil && !errors.Is(err, context.Canceled) {
--- /dev/null
+++ b/follow/starts.go
@@ -0,0 +1,25 @@
+package follow
+
+import "sandcourse/roster"
+
+// sameStart is by how much two estimates of one start may differ, in milliseconds: a plan tells how long an engine has
+// been up, as the planner heard it some time before, and its way to the node adds to that.
+const sameStart = 2000
+
+// starts are the engines' starts as they were first estimated. Without them each plan would move the starts a little, and
+// a start that has become later stands for an engine that has started anew and has forgotten all.
+type starts map[string]int64
+
+// settle puts the first estimate in place of a later one of the same start, and forgets engines that are not listed.
+func (s *starts) settle(list *roster.List) {
+	next := starts{}
+	for i := range list.Engines {
+		e := &list.Engines[i]
+		first, known := (*s)[e.Engine]
+		if known && first > 0 && e.UpSince > 0 && e.UpSince-first <= sameStart {
+			e.UpSince = first
+		}
+		next[e.Engine] = e.UpSince
+	}
+	*s = next
+}
