--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -142,23 +142,11 @@
 	return names
 }
 
-// MayWrite is the gate of every first byte to an engine: not later after the news of its drain than the grace
-// allows, less what the way to the engine and a late tick may take. Told is 0 where there was no such news.
-func MayWrite(now, told, grace int64) bool {
-	// Two fifths of the grace are left for the way and for a loaded machine.
-	return told == 0 || now-told <= grace*3/5
-}
-
 // NeverRan is whether an outcome proves that its send never ran.
 func NeverRan(v brain.Verdict) bool {
 	return v == brain.Full || v == brain.NotConnected || v == brain.NotSent
 }
 
-// MayRepeat is the gate of a first byte where engines know a repeat only for a time: not later after an earlier send
-// that may have run than that window. The window is looked at when a send is chosen, and may pass while its
-// connection comes up.
-func MayRepeat(now, first, window int64) bool { return now-first < window }
-
 // Stalled is whether a stream that was last heard of so long ago, in nanoseconds, counts as stopped.
 func Stalled(s State, idle, stall int64) bool { return s == Flowing && idle > stall }
 
--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -63,18 +63,7 @@
 	}
 }
 
-func TestDrainGate(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		grace := rapid.Int64Range(1, 1e12).Draw(t, "grace")
-		told := rapid.Int64Range(1, 1e15).Draw(t, "told")
-		now := told + rapid.Int64Range(0, 2e12).Draw(t, "later")
-		if MayWrite(now, told, grace) && now-told > grace {
-			t.Fatal("written past the grace")
-		}
-		if !MayWrite(now, 0, grace) {
-			t.Fatal("held back without news")
-		}
-	})
+func TestNewsOfDrains(t *testing.T) {
 	d := Told{}
 	d.HearAll(map[string]bool{"a": true}, []string{"a", "b"}, 5)
 	d.Hear("b", false, 9)
--- a/edge/back.go
+++ b/edge/back.go
@@ -1,14 +1,17 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/lesismal/nbio"
 
 	"sandcourse/chat"
 	"sandcourse/framing"
+	"sandcourse/netfault"
 	"sandcourse/node"
 )
 
@@ -56,14 +59,7 @@
 func (n *Node) Dial(core *node.Line) {
 	failed := func(err error) { n.in.put(0, func() { n.core.LineDialled(core, nil, err) }) }
 	n.over.Go(func() {
-		dialer := net.Dialer{Timeout: n.d.Lines.DialTime}
-		dialled, err := dialer.DialContext(n.alive, "tcp", core.Host)
-		var conn *nbio.Conn
-		if err == nil {
-			if conn, err = nbio.NBConn(dialled); err != nil {
-				dialled.Close()
-			}
-		}
+		conn, err := n.connect(core.Host)
 		if err != nil {
 			failed(err)
 			return
@@ -73,13 +69,56 @@
 		conn.SetSession(l)
 		n.connOpened()
 		if _, err = n.back.AddConn(conn); err != nil {
-			failed(err)
+			failed(errors.Join(node.ErrLocal, err))
 			return
 		}
 		n.in.put(0, func() { n.core.LineDialled(core, l, nil) })
 	})
 }
 
+// A connection that this machine could not make is tried again after a short pause, which doubles.
+const (
+	redialFirst = 5 * time.Millisecond
+	redialMost  = 40 * time.Millisecond
+)
+
+// connect makes a connection within the settings' time. Where this machine lacks something for a moment, such as
+// descriptors or ports, it is tried again until that time is over; the error then is a node.ErrLocal.
+func (n *Node) connect(address string) (*nbio.Conn, error) {
+	ctx, cancel := context.WithTimeout(n.alive, n.d.Lines.DialTime)
+	defer cancel()
+	for pause := redialFirst; ; pause = min(2*pause, redialMost) {
+		conn, err := n.connectOnce(ctx, address)
+		if err == nil || !netfault.Local(err) && n.alive.Err() == nil {
+			return conn, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(node.ErrLocal, err)
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (n *Node) connectOnce(ctx context.Context, address string) (*nbio.Conn, error) {
+	dialled, err := n.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := nbio.NBConn(dialled)
+	if err != nil {
+		dialled.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// dialTCP makes a connection by the standard library.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func (n *Node) backClosed(conn *nbio.Conn, _ error) {
 	n.connUsed()
 	if l, ok := conn.Session().(*link); ok {
--- a/edge/barrier.go
+++ b/edge/barrier.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -142,12 +143,20 @@
 // raise makes the descriptor readable.
 func (s *sentinel) raise() error {
 	one := [8]byte{1}
-	_, err := syscall.Write(s.conn.Hash(), one[:])
-	return err
+	for {
+		_, err := syscall.Write(s.conn.Hash(), one[:])
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
 }
 
 // lower makes it unreadable. The read cannot fail: the poller has told that it is readable, and nobody else reads.
 func (s *sentinel) lower() {
 	var count [8]byte
-	syscall.Read(s.conn.Hash(), count[:])
+	for {
+		if _, err := syscall.Read(s.conn.Hash(), count[:]); !errors.Is(err, syscall.EINTR) {
+			return
+		}
+	}
 }
--- a/edge/export_test.go
+++ b/edge/export_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"sandcourse/brain"
@@ -53,3 +55,8 @@
 	}
 	return count
 }
+
+// DialBy makes the node dial engines in another way. It is called before Start.
+func (n *Node) DialBy(dial func(ctx context.Context, address string) (net.Conn, error)) {
+	n.dial = dial
+}
--- /dev/null
+++ b/edge/faults_test.go
@@ -0,0 +1,96 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A client asks for one stream and sends, behind it, the head of a request that expects to be told to go on. That word
+// must not come in the middle of the stream.
+func TestContinueBehindAStream(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(streamHead+event(`{"choices":[1]}`)))
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	client := dial(t, n)
+	client.send(wire("a", "chat"))
+	begun := ""
+	for !strings.Contains(begun, "[1]") {
+		line, err := client.in.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		begun += line
+	}
+	head, body, _ := strings.Cut(wire("b", "chat"), "\r\n\r\n")
+	client.send(head + "\r\nExpect: 100-continue\r\n\r\n")
+	client.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	rest := make([]byte, 100)
+	size, _ := client.in.Read(rest)
+	if got := strings.TrimSpace(string(rest[:size])); got != "" {
+		t.Fatalf("in the middle of a stream comes %q", got)
+	}
+	_ = body
+}
+
+// Where nothing is served before it, such a request is told to go on, and is answered.
+func TestContinue(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	n := onPlatform(t, 1024, nil, reader, writer)
+	defer n.Stop()
+	client := dial(t, n)
+	head, body, _ := strings.Cut(wire("b", "chat"), "\r\n\r\n")
+	client.send(head + "\r\nExpect: 100-continue\r\n\r\n")
+	if line, err := client.in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100") {
+		t.Fatalf("%q %v", line, err)
+	}
+	client.in.ReadString('\n')
+	client.send(body)
+	if status, got := client.answer(); status != 200 || got != allEvents {
+		t.Fatalf("%d %q", status, got)
+	}
+	// And once what was served before it has its answer.
+	client.send(wire("c", "chat") + head + "\r\nExpect: 100-continue\r\n\r\n")
+	if status, _ := client.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	if line, err := client.in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100") {
+		t.Fatalf("behind an answer: %q %v", line, err)
+	}
+}
+
+// A connection that this machine cannot make for a moment says nothing of the engine: it is made a moment later, and no
+// engine counts as failed.
+func TestConnectionThatFailsHere(t *testing.T) {
+	for _, no := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EMFILE} {
+		reader := newBox(t, "127.0.0.2", always(heldWire))
+		writer := newBox(t, "127.0.0.3", always(wholeStream))
+		n := newOnPlatform(t, 1024, nil, reader, writer)
+		var failed atomic.Int64
+		n.DialBy(func(ctx context.Context, address string) (net.Conn, error) {
+			if failed.Add(1) <= 3 {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", no)}
+			}
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		})
+		startReady(t, n)
+		for i := range 3 {
+			if status, body, err := call(t, n, fmt.Sprint("a", i), "alert"); status != 200 || err != nil || body != allEvents {
+				t.Errorf("%v: request %d: %d %q %v", no, i, status, body, err)
+			}
+		}
+		if failed.Load() <= 3 {
+			t.Errorf("%v: %d connections were tried", no, failed.Load())
+		}
+		n.Stop()
+	}
+}
--- a/edge/front.go
+++ b/edge/front.go
@@ -52,8 +52,13 @@
 // Drained is node.ClientSocket's.
 func (c *client) Drained() bool { return c.flushed.Load() >= c.queued.Load() }
 
-// StopReading is node.ClientSocket's.
-func (c *client) StopReading() { c.discards.Store(true) }
+// StopReading is node.ClientSocket's. What has come of an unfinished request is dropped.
+func (c *client) StopReading() {
+	c.discards.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request, c.body = nil, nil
+}
 
 // Gone is node.ClientSocket's. The socket library marks a connection as closed once its poller has seen the end, and tells
 // of it later. Where the poller has not come to it, as in a process that was not run for a while, the kernel knows.
@@ -63,6 +68,9 @@
 	}
 	ask := []unix.PollFd{{Fd: int32(c.conn.Hash()), Events: unix.POLLRDHUP}}
 	ready, err := unix.Poll(ask, 0)
+	for errors.Is(err, unix.EINTR) {
+		ready, err = unix.Poll(ask, 0)
+	}
 	return err == nil && ready > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
@@ -227,7 +235,7 @@
 			c.request, c.body = p.Request, c.body[:0:0]
 			heads++
 			if strings.EqualFold(p.Request.Header.Get("Expect"), "100-continue") {
-				events = append(events, event{1, func() { c.Send([]byte("HTTP/1.1 100 Continue\r\n\r\n")) }})
+				events = append(events, event{1, func() { n.core.Continue(c.core) }})
 			}
 		case framing.Body:
 			c.body = append(c.body, p.Data...)
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sandcourse/guard"
 	"sandcourse/node"
 )
 
@@ -18,6 +19,12 @@
 	engines  prometheus.Gauge
 	holding  *prometheus.GaugeVec
 	oldest   prometheus.Gauge
+
+	attempts    *prometheus.CounterVec
+	barred      *prometheus.CounterVec
+	violations  *prometheus.CounterVec
+	closes      *prometheus.CounterVec
+	connections *prometheus.CounterVec
 }
 
 func newMeters() *meters {
@@ -44,6 +51,19 @@
 		oldest: prometheus.NewGauge(prometheus.GaugeOpts{Name: "sandcourse_oldest_hold_seconds",
 			Help: "How long the oldest state has been known that engines hold or may hold; 0 for none."}),
 	}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+		m.registry.MustRegister(c)
+		return c
+	}
+	m.attempts = counters("sandcourse_attempts_total", "Attempts that have ended, by stage and outcome.", "stage", "outcome")
+	m.barred = counters("sandcourse_attempts_held_back_total", "Attempts that a gate held back, by reason.", "why")
+	m.violations = counters("sandcourse_violations_total", "Rules that the node broke, as its own monitor sees it; 0 is right.", "rule")
+	for _, rule := range guard.Rules {
+		m.violations.WithLabelValues(string(rule)) // shown from the start, so that a rise from 0 is seen
+	}
+	m.closes = counters("sandcourse_client_closes_total", "Clients' connections that the node closed, by reason.", "why")
+	m.connections = counters("sandcourse_engine_connections_total", "What became of connections to engines.", "event")
 	m.registry.MustRegister(m.finals, m.refused, m.firsts, m.panics, m.releases, m.module, m.engines, m.holding, m.oldest)
 	return m
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -62,6 +62,7 @@
 	over   sync.WaitGroup
 	fail   func(brain.Input) // a test's panic inside the module
 	hold   func(Point)       // a test's stop at a point; set before Start
+	dial   func(ctx context.Context, address string) (net.Conn, error)
 	counts map[string]*planwire.RouteCount
 }
 
@@ -79,7 +80,7 @@
 	protocol dialect.Dialect) *Node {
 	n := &Node{d: d, log: log.With(zap.String("node", d.Node)), source: source, seed: seed, in: newInbox(d.Inbox),
 		started: time.Now(), done: make(chan struct{}), protocol: protocol, room: newRoom(d.Limits.Conns + 16),
-		pollers: defaultPollers}
+		pollers: defaultPollers, dial: dialTCP}
 	n.epoch = n.started.UnixMilli()
 	n.alive, n.cancel = context.WithCancel(context.Background())
 	n.metrics = newMeters()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -12,6 +13,9 @@
 // The most bytes of one text between nodes.
 const peerText = 256
 
+// hearAgain is how long after a failed read the next one follows: the socket may fail for good.
+const hearAgain = 10 * time.Millisecond
+
 // peers is how nodes tell one another short texts: datagrams, which may be late or lost.
 type peers struct {
 	conn *net.UDPConn
@@ -51,8 +55,10 @@
 	for {
 		size, from, err := n.peers.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
-			if n.alive.Err() != nil {
+			select {
+			case <-n.alive.Done():
 				return
+			case <-time.After(hearAgain):
 			}
 			continue
 		}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"sandcourse/brain"
+	"sandcourse/guard"
 	"sandcourse/node"
 )
 
@@ -53,10 +54,49 @@
 	w.n.log.Info(f.Final, fields...)
 }
 
-func (w watch) Shed(route string, prompt int) {
-	w.n.metrics.finals.WithLabelValues(route, "shed").Inc()
-	c := w.n.count(route)
-	c.Arrived, c.Prompt, c.Shed = c.Arrived+1, c.Prompt+float64(prompt), c.Shed+1
+func (w watch) Shed(s node.Shed) {
+	w.n.metrics.finals.WithLabelValues(s.Route, "shed").Inc()
+	c := w.n.count(s.Route)
+	c.Arrived, c.Prompt, c.Shed = c.Arrived+1, c.Prompt+float64(s.Prompt), c.Shed+1
+	w.n.log.Info("refused", zap.String("inference", s.Request), zap.String("route", s.Route), zap.String("why", s.Why))
+}
+
+// stage names what an attempt asks for, in the field's words.
+func stage(decode bool) string {
+	if decode {
+		return "decode"
+	}
+	return "prefill"
+}
+
+func (w watch) Attempt(a node.AttemptEnd) {
+	w.n.metrics.attempts.WithLabelValues(stage(a.Decode), a.Verdict).Inc()
+	if a.Why == "" {
+		return // it ended well
+	}
+	w.n.log.Info("attempt ended", zap.String("inference", a.Request), zap.Int("attempt", a.Number), zap.String("engine", a.Engine),
+		zap.String("stage", stage(a.Decode)), zap.String("verdict", a.Verdict), zap.String("why", a.Why),
+		zap.Duration("connecting", a.Connecting), zap.Duration("took", a.Took))
+}
+
+func (w watch) Barred(request string, why guard.Reason) {
+	w.n.metrics.barred.WithLabelValues(string(why)).Inc()
+	w.n.log.Info("attempt held back", zap.String("inference", request), zap.String("why", string(why)))
+}
+
+func (w watch) Violated(v guard.Violation) {
+	w.n.metrics.violations.WithLabelValues(string(v.Rule)).Inc()
+	w.n.log.Error("rule broken", zap.String("rule", string(v.Rule)), zap.String("inference", v.Request), zap.String("how", v.How))
+}
+
+func (w watch) Closed(client int64, why node.CloseReason) {
+	w.n.metrics.closes.WithLabelValues(string(why)).Inc()
+	w.n.log.Debug("client's connection closed", zap.Int64("client", client), zap.String("why", string(why)))
+}
+
+func (w watch) Connection(engine string, what node.ConnectionEvent) {
+	w.n.metrics.connections.WithLabelValues(string(what)).Inc()
+	w.n.log.Debug("connection to an engine", zap.String("engine", engine), zap.String("what", string(what)))
 }
 
 func (w watch) First(route string, after time.Duration, prompt int) {
--- a/hold/hold.go
+++ b/hold/hold.go
@@ -126,19 +126,27 @@
 	// Round counts the times at which releases became due anew. An acknowledgement of an earlier round's says nothing.
 	Round int
 
+	free     int64 // since when no attempt has been out that may take it, as far as is known
+	cut      bool  // the attempt that was to take it was cut: whether it arrived is not known
 	horizon  int64 // until when releases are repeated
 	pressing int64 // since when releases have not been acknowledged; 0 where none is out
 	unheard  int   // releases since the last acknowledgement
 	acks     int   // acknowledgements so far
 }
 
+// Acknowledged is whether an engine has acknowledged a release.
+func (h *Hold) Acknowledged() bool { return h.acks > 0 }
+
+// FreeSince is since when no attempt has been out that may take the state, as far as is known.
+func (h *Hold) FreeSince() int64 { return h.free }
+
 // Describe writes all that later events may hang on, with times as they are from now.
 func (h *Hold) Describe(now int64) string {
 	pressing := int64(-1)
 	if h.pressing > 0 {
 		pressing = now - h.pressing
 	}
-	return fmt.Sprint(h.ID, h.Engine, h.State, h.Due-now, max(0, h.horizon-now), pressing, h.unheard, h.acks, h.Asked)
+	return fmt.Sprint(h.ID, h.Engine, h.State, h.Due-now, max(0, h.horizon-now), pressing, h.unheard, h.acks, h.Asked, h.cut)
 }
 
 // Table is all holds of a node.
@@ -238,7 +246,7 @@
 	if t.count >= t.bounds.Most && !t.makeRoom() {
 		return nil
 	}
-	h := &Hold{ID: id, Engine: engine, Since: now}
+	h := &Hold{ID: id, Engine: engine, Since: now, free: now}
 	t.requests[id.Request] = append(t.requests[id.Request], h)
 	t.count++
 	t.happen(h, in, now, since, horizon)
@@ -322,7 +330,10 @@
 	if h.State == None || now < h.Due {
 		return Nothing, None
 	}
-	if h.State == Held || h.State == Claimed {
+	switch {
+	case h.State == Held && h.cut:
+		kept = Claimed // it is not known whether the attempt that was to take it has arrived
+	case h.State == Held || h.State == Claimed:
 		kept = h.State
 	}
 	t.happen(h, Overdue, now, now, 0)
@@ -372,6 +383,12 @@
 		return
 	}
 	h.State = transitions[i].next
+	switch in {
+	case AttemptCut:
+		h.cut, h.free = true, now
+	case AttemptRefused:
+		h.cut, h.free = false, now
+	}
 	switch transitions[i].timing {
 	case kept:
 		t.setDue(h, since+t.bounds.Keep)
--- a/lab/edge.go
+++ b/lab/edge.go
@@ -18,6 +18,7 @@
 	"sandcourse/chatline"
 	"sandcourse/engine"
 	"sandcourse/framing"
+	"sandcourse/guard"
 	"sandcourse/node"
 	"sandcourse/roster"
 	"sandcourse/settings"
@@ -454,7 +455,12 @@
 func (quiet) Around(_ brain.Input, step func())           { step() }
 func (quiet) ModuleFailed(p any, _ brain.Input, _ []byte) { panic(p) }
 func (quiet) Final(node.Final)                            {}
-func (quiet) Shed(string, int)                            {}
+func (quiet) Shed(node.Shed)                              {}
+func (quiet) Attempt(node.AttemptEnd)                     {}
+func (quiet) Barred(string, guard.Reason)                 {}
+func (quiet) Violated(guard.Violation)                    {}
+func (quiet) Closed(int64, node.CloseReason)              {}
+func (quiet) Connection(string, node.ConnectionEvent)     {}
 func (quiet) First(string, time.Duration, int)            {}
 func (quiet) Refused(string)                              {}
 func (quiet) Released(node.Release)                       {}
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -1,13 +1,13 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"sandcourse/attempt"
 	"sandcourse/brain"
 	"sandcourse/conns"
 	"sandcourse/dialect"
+	"sandcourse/guard"
 	"sandcourse/hold"
 )
 
@@ -44,9 +44,8 @@
 	if inf.client.Socket.Gone() {
 		o.ClientGone(inf.client)
 	}
-	// The gate of rule 1: nothing goes out for what has its final answer.
-	if inf.final != "" {
-		o.happen(s, attempt.NoLine, "it has its final answer")
+	if why := o.maySend(s, nil); why != guard.Allowed {
+		o.happen(s, attempt.Barred, string(why))
 		return
 	}
 	atMost := int64(o.d.Lines.Idle)
@@ -59,14 +58,23 @@
 	}
 }
 
-// mayRepeat is whether all earlier sends of an inference that may have run are still known to engines, where that is
-// what keeps a further one from happening twice.
-func (o *Core) mayRepeat(s *send) bool {
-	route := o.d.Routes[s.inf.route]
-	return route.Effect != "deduped" || !slices.ContainsFunc(s.inf.sends, func(before *send) bool {
-		mayHaveRun := before.writes && before.wroteAt > 0 && !(before.ended && attempt.NeverRan(before.verdict))
-		return before != s && mayHaveRun && !attempt.MayRepeat(o.now, before.wroteAt, int64(route.DedupWindow))
-	})
+// maySend asks the gate of attempts, on a connection or before there is one.
+func (o *Core) maySend(s *send, l *Line) guard.Reason {
+	inf := s.inf
+	a := guard.Attempt{Answered: inf.final != "", ClientGone: inf.client.gone, GiveUpAt: inf.giveUpAt, Drained: o.told[s.engine],
+		Moved: l != nil && l.Host != o.reach(s.engine).Host, Effect: inf.effect(o.d),
+		Window: int64(o.d.Routes[inf.route].DedupWindow)}
+	for _, before := range inf.sends {
+		if before != s {
+			a.Earlier = append(a.Earlier, guard.Earlier{Decode: before.writes, WrittenAt: before.wroteAt, Out: !before.ended,
+				NeverRan: before.ended && attempt.NeverRan(before.verdict)})
+		}
+	}
+	why := guard.MaySend(a, o.now, int64(o.d.Rules.DrainGrace))
+	if why != guard.Allowed {
+		o.watch.Barred(inf.name, why)
+	}
+	return why
 }
 
 // request is what a line is to carry. It is made as it is written: what it says of the client's time must not
@@ -80,13 +88,23 @@
 		return o.protocol.Probe(to), nil
 	}
 	s := l.send
-	inf, left := s.inf, time.Duration(s.inf.giveUpAt-o.now)
+	inf, left := s.inf, o.toldTime(s.inf)
 	if s.writes {
 		return o.protocol.Write(inf.asked.Call, inf.name, to, inf.transfer, left)
 	}
 	return o.protocol.Read(inf.asked.Call, inf.name, to, s.n, left)
 }
 
+// toldMargin is by how much less time an engine is told than is left, so that a node which is held up between its look at
+// the clock and the write does not tell too much. A request with very little time gives a quarter of it.
+const toldMargin = 50 * time.Millisecond
+
+// toldTime is the time that an engine is told.
+func (o *Core) toldTime(inf *inference) time.Duration {
+	left := time.Duration(inf.giveUpAt - o.now)
+	return left - min(toldMargin, max(0, left/4))
+}
+
 // happen is where all socket events of a send end up: its machine judges them, and the outcome, if there is
 // one, goes to the module.
 func (o *Core) happen(s *send, in attempt.Input, why string) {
@@ -125,6 +143,7 @@
 			l.restSince = o.now
 		}
 	}
+	o.endOfAttempt(s)
 	note := 0.0
 	if r.Verdict == brain.ReadDone {
 		note, inf.transfer = s.kept, s.transfer
@@ -153,11 +172,23 @@
 	o.forget(inf)
 }
 
+// endOfAttempt tells the monitor and the logs of an attempt's outcome.
+func (o *Core) endOfAttempt(s *send) {
+	o.monitor.Over(s.inf.id, s.n, attempt.NeverRan(s.verdict))
+	end := AttemptEnd{Request: s.inf.name, Engine: s.engine, Number: s.n, Decode: s.writes, Verdict: verdictNames[s.verdict], Why: s.why,
+		Took: time.Duration(o.now - s.at)}
+	if s.wroteAt > 0 {
+		end.Connecting = time.Duration(s.wroteAt - s.at)
+	}
+	o.watch.Attempt(end)
+}
+
 // token passes one on, and tells the module of the first.
 func (o *Core) token(s *send, first bool) {
 	inf := s.inf
 	if first {
 		inf.began, inf.firstAt = true, o.now
+		o.monitor.Began(inf.id)
 		o.changeHolds(inf, hold.Taken)
 		if inf.whole == nil && inf.final == "" {
 			o.write(inf.client, o.protocol.Open(inf.name))
--- a/node/clients.go
+++ b/node/clients.go
@@ -10,6 +10,7 @@
 
 	"sandcourse/dialect"
 	"sandcourse/framing"
+	"sandcourse/guard"
 	"sandcourse/limits"
 )
 
@@ -22,7 +23,7 @@
 
 // ClientOpened takes a new connection of a client.
 func (o *Core) ClientOpened(c *Client) {
-	ok := o.gate.Open(c.ID, o.now, func(id int64) bool { return o.tryClose(o.clients[id]) })
+	ok := o.gate.Open(c.ID, o.now, func(id int64) bool { return o.tryClose(o.clients[id], CloseCrowded) })
 	o.clients[c.ID] = c
 	if !ok {
 		// A request may be on its way on it already, and is owed an answer.
@@ -32,21 +33,46 @@
 	}
 }
 
-func (o *Core) closeClient(c *Client) {
+func (o *Core) closeClient(c *Client, why CloseReason) {
 	if c != nil {
 		c.Socket.StopReading()
 		o.flush(c)
-		c.Socket.Close()
+		o.closeSocket(c, why)
 	}
 }
 
+// closeSocket closes a client's connection, whatever is under way on it. What the gate of closes has against it counts.
+func (o *Core) closeSocket(c *Client, why CloseReason) {
+	o.monitor.Closing(o.connection(c), string(why))
+	o.watch.Closed(c.ID, why)
+	c.Socket.Close()
+}
+
+// connection is what the gate of closes is asked about.
+func (o *Core) connection(c *Client) guard.Connection {
+	waiting := 0
+	for _, a := range c.waiting {
+		if !a.ends {
+			waiting++
+		}
+	}
+	if c.serving {
+		waiting++
+	}
+	return guard.Connection{ClientGone: c.gone || c.Socket.Gone(), Broke: c.cut, Waiting: waiting, Unread: c.partial}
+}
+
 // tryClose closes a connection between two requests, once its last answer is with the kernel.
-func (o *Core) tryClose(c *Client) bool {
+func (o *Core) tryClose(c *Client, why CloseReason) bool {
 	if c == nil || c.gone {
 		return true
 	}
 	o.flush(c)
-	return c.Socket.Drained() && c.Socket.TryClose()
+	if guard.MayClose(o.connection(c)) != guard.Allowed || !c.Socket.Drained() || !c.Socket.TryClose() {
+		return false
+	}
+	o.watch.Closed(c.ID, why)
+	return true
 }
 
 // CloseClients closes each connection on which nothing is under way, and returns how many others there are.
@@ -58,7 +84,7 @@
 			if !c.Socket.Drained() {
 				busy++
 			}
-		case c.serving || !o.tryClose(c):
+		case c.serving || !o.tryClose(c, CloseStopping):
 			busy++
 		}
 	}
@@ -81,9 +107,10 @@
 
 // Reading says that a client sends, and how many bytes of an unfinished call are held for it.
 func (o *Core) Reading(c *Client, input limits.Input, held int) {
-	if c.gone {
-		return
+	if c.gone || c.closing {
+		return // what comes on a connection that is closing is dropped
 	}
+	c.unfinished, c.partial = input, true
 	if !c.serving {
 		o.gate.Happen(c.ID, input, o.now)
 	}
@@ -116,7 +143,7 @@
 		return
 	}
 	o.gate.Hold(c.ID, a.Bytes-c.held)
-	c.held = 0
+	c.held, c.partial, c.continues = 0, false, false
 	o.gate.Happen(c.ID, limits.CallWhole, o.now)
 	a.excess = len(c.waiting) >= pipelined
 	c.waiting = append(c.waiting, a)
@@ -139,10 +166,40 @@
 		o.serve(c, a)
 	}
 	if !c.serving && !c.gone && len(c.waiting) == 0 {
-		o.gate.Happen(c.ID, limits.Answered, o.now)
-		if c.last && !c.closing {
-			o.part(c)
-		}
+		o.rest(c)
+	}
+}
+
+// rest is what a connection comes to once all that was read on it is answered. A request that has come in part meanwhile
+// has its time from now on.
+func (o *Core) rest(c *Client) {
+	o.gate.Happen(c.ID, limits.Answered, o.now)
+	switch {
+	case c.closing:
+	case c.last:
+		o.part(c)
+	case c.partial:
+		o.gate.Happen(c.ID, c.unfinished, o.now)
+		o.sendContinue(c)
+	}
+}
+
+// Continue says that a client waits for a word before it sends the body of its request. It gets the word once all before
+// it is answered: in the middle of an answer it would spoil that.
+func (o *Core) Continue(c *Client) {
+	if c.gone || c.closing {
+		return
+	}
+	c.continues = true
+	if !c.serving && len(c.waiting) == 0 {
+		o.sendContinue(c)
+	}
+}
+
+func (o *Core) sendContinue(c *Client) {
+	if c.continues {
+		c.continues = false
+		o.write(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 }
 
@@ -192,6 +249,8 @@
 func (o *Core) part(c *Client) {
 	c.closing = true
 	c.Socket.StopReading()
+	o.gate.Hold(c.ID, -c.held) // a part of a request is dropped
+	c.held, c.partial = 0, false
 	o.gate.Happen(c.ID, limits.Part, o.now)
 	o.closing[c.ID] = o.now
 	o.flush(c)
@@ -218,6 +277,7 @@
 	c.out = nil
 	if err := c.Socket.Send(out); err != nil {
 		o.watch.Refused("slow client")
+		o.watch.Closed(c.ID, CloseUnread)
 		c.Socket.Close()
 	}
 }
@@ -234,11 +294,21 @@
 		written := c.Socket.Drained()
 		if written && (c.cut || o.now-at > int64(500*time.Millisecond)) || o.now-at > int64(o.d.Limits.DrainTime) {
 			delete(o.closing, id)
-			c.Socket.Close()
+			o.closeSocket(c, closedAs(c, written))
 		}
 	}
 }
 
+func closedAs(c *Client, written bool) CloseReason {
+	switch {
+	case c.cut:
+		return CloseBroken
+	case written:
+		return CloseAnswered
+	}
+	return CloseUnread
+}
+
 // cut ends a connection whose answer broke: the client must not take what it has for the whole.
 func (o *Core) cut(c *Client) {
 	c.serving, c.current = false, nil
@@ -253,9 +323,17 @@
 // namesHalf: a minute's worth at a hundred a second, some hundred kilobytes.
 const namesHalf = 6000
 
+func (n *names) known(name string) bool { return n.young[name] || n.old[name] }
+
+// free forgets the name of a request of which nothing was sent to an engine: its client may come again with it.
+func (n *names) free(name string) {
+	delete(n.young, name)
+	delete(n.old, name)
+}
+
 // take notes a name; false where it is taken already.
 func (n *names) take(name string) bool {
-	if n.young[name] || n.old[name] {
+	if n.known(name) {
 		return false
 	}
 	if n.young == nil || len(n.young) >= namesHalf {
--- a/node/core.go
+++ b/node/core.go
@@ -11,6 +11,7 @@
 	"sandcourse/brain"
 	"sandcourse/conns"
 	"sandcourse/dialect"
+	"sandcourse/guard"
 	"sandcourse/hold"
 	"sandcourse/limits"
 	"sandcourse/roster"
@@ -52,6 +53,7 @@
 	lines    map[int64]*Line
 	controls map[*controlRequest]bool
 	holds    *hold.Table
+	monitor  *guard.Monitor
 	infs     map[int64]*inference
 	nextInf  int64
 	took     uint64 // rows of attempt's table taken so far, a bit each, from bit 1
@@ -62,6 +64,7 @@
 	gone        bool  // it has left its clients since
 	heardAt     int64 // when another node was last heard
 	swept       int64
+	heldChecked int64 // when the monitor last looked at what is held
 	eventsSince int64 // events that are handed over now happened after this; 0 where that is not known
 }
 
@@ -97,7 +100,7 @@
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, closing: map[int64]int64{}, lines: map[int64]*Line{},
 		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, protocol.ReleasesAnywhere(),
-			holdsAnOpenCall*d.Limits.Open)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
+			holdsAnOpenCall*d.Limits.Open)), monitor: guard.NewMonitor(guard.LimitsFor(d.Rules.DrainGrace, d.Rules.Pin)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
@@ -147,14 +150,14 @@
 func (o *Core) endOverdue(c *Client, state limits.State) {
 	switch state {
 	case limits.Idle:
-		if !o.tryClose(c) {
+		if !o.tryClose(c, CloseIdle) {
 			return // a request has come in this moment
 		}
 	case limits.Heading, limits.Bodying:
 		o.reply(c, nil, o.protocol.Refusal(http.StatusRequestTimeout, "too_slow", "",
 			"the request did not come in time"))
 	default:
-		o.closeClient(c)
+		o.closeClient(c, CloseUnread)
 	}
 	o.watch.Refused("slow or idle")
 }
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sandcourse/brain"
+	"sandcourse/guard"
 	"sandcourse/limits"
 	"sandcourse/node"
 	"sandcourse/platform"
@@ -29,6 +30,7 @@
 	heard []brain.Input
 
 	fails, mayFail bool // the module, at its next input; and whether that is wanted
+	unacknowledged bool // no engine acknowledges a release in this test, so that states are held for too long
 }
 
 func (b *bench) Dial(l *node.Line) { b.dials = append(b.dials, l) }
@@ -49,13 +51,24 @@
 // ignoredEvents are what a core tells that no test here looks at.
 type ignoredEvents struct{}
 
-func (ignoredEvents) Tell(int, string)                 {}
-func (ignoredEvents) Final(node.Final)                 {}
-func (ignoredEvents) Shed(string, int)                 {}
-func (ignoredEvents) First(string, time.Duration, int) {}
-func (ignoredEvents) Refused(string)                   {}
-func (ignoredEvents) Released(node.Release)            {}
-func (ignoredEvents) Listed(int64, int, []string)      {}
+func (ignoredEvents) Tell(int, string)                        {}
+func (ignoredEvents) Final(node.Final)                        {}
+func (ignoredEvents) Shed(node.Shed)                          {}
+func (ignoredEvents) Attempt(node.AttemptEnd)                 {}
+func (ignoredEvents) Barred(string, guard.Reason)             {}
+func (ignoredEvents) Closed(int64, node.CloseReason)          {}
+func (ignoredEvents) Connection(string, node.ConnectionEvent) {}
+func (ignoredEvents) First(string, time.Duration, int)        {}
+func (ignoredEvents) Refused(string)                          {}
+func (ignoredEvents) Released(node.Release)                   {}
+func (ignoredEvents) Listed(int64, int, []string)             {}
+
+// Violated is a fault in any test.
+func (b *bench) Violated(v guard.Violation) {
+	if v.Rule != guard.HeldTooLong || !b.unacknowledged {
+		b.t.Errorf("rule broken: %+v", v)
+	}
+}
 
 // socket is a connection to an engine.
 type socket struct {
@@ -112,6 +125,13 @@
 	return b
 }
 
+// newUnacknowledgedBench is one where no engine acknowledges a release.
+func newUnacknowledgedBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.unacknowledged = true
+	return b
+}
+
 // list names the engines that are ready; r... are readers.
 func (b *bench) list(ids ...string) {
 	list := roster.List{Revision: 1}
@@ -305,7 +325,7 @@
 // it waits for a writer. Its state is let go of all the same.
 func TestNothingIsSentOnForAClientThatHasGone(t *testing.T) {
 	for _, route := range []string{"chat", "alert"} {
-		b := newBench(t)
+		b := newUnacknowledgedBench(t)
 		c, _ := b.ask("a1", route)
 		b.core.ClientGone(c)
 		b.connect()
@@ -314,7 +334,7 @@
 			t.Errorf("%s: %d sends for a client that left while its line was dialled", route, n)
 		}
 
-		b = newBench(t)
+		b = newUnacknowledgedBench(t)
 		c, _ = b.ask("a2", route)
 		s := b.connect()
 		b.core.ClientGone(c)
@@ -324,7 +344,7 @@
 			t.Errorf("%s: %d sends, the read among them, for a client that left while it was read", route, n)
 		}
 
-		b = newBench(t)
+		b = newUnacknowledgedBench(t)
 		b.list("r") // no writer is there
 		c, _ = b.ask("a3", route)
 		s = b.connect()
@@ -566,6 +586,7 @@
 		"a reset": func(b *bench, s *socket) { b.core.LineBroken(s.line) },
 	} {
 		b, c, _ := writeOut(t, "chat")
+		b.unacknowledged = true
 		b.list("r", "w", "w2")
 		b.core.Begin(b.now)
 		b.core.ClientGone(c)
--- a/node/engines.go
+++ b/node/engines.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sandcourse/brain"
+	"sandcourse/conns"
 	"sandcourse/dialect"
 	"sandcourse/roster"
 )
@@ -69,10 +70,30 @@
 		return !listed && o.now-at > departed
 	})
 	o.list = &list
+	o.closeMoved()
 	o.watch.Listed(list.Revision, len(news.Engines), unknown)
 	o.tell(news)
 }
 
+// closeMoved closes the idle connections to addresses that are not their engines' any more: another engine may listen
+// there by now. Those that carry something are left to it, and closed behind it.
+func (o *Core) closeMoved() {
+	hosts := map[string]string{}
+	for _, e := range o.list.Engines {
+		hosts[e.Engine] = cmp.Or(e.Host, e.Engine)
+	}
+	for _, id := range o.pool.All() {
+		l := o.lines[id]
+		if l == nil {
+			continue
+		}
+		if host, listed := hosts[l.Engine]; listed && host != l.Host && o.pool.State(id) == conns.Idle {
+			o.pool.Happen(id, conns.Aged, o.now)
+			o.closeLine(id)
+		}
+	}
+}
+
 func (o *Core) unready() string {
 	switch {
 	case o.stopping:
--- a/node/inference.go
+++ b/node/inference.go
@@ -4,12 +4,15 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"sandcourse/attempt"
 	"sandcourse/brain"
 	"sandcourse/dialect"
+	"sandcourse/guard"
 	"sandcourse/limits"
+	"sandcourse/settings"
 )
 
 // inference is one call of a client from its arrival until its final answer is out and none of its sends is.
@@ -53,12 +56,17 @@
 			"calls are taken over HTTP/1.1"))
 		return
 	}
-	if a.Call.Name != "" && !o.names.take(a.Call.Name) {
-		o.reply(c, a, o.protocol.Refusal(http.StatusConflict, "known", "", "an inference has this name already"))
+	switch why := guard.MayStart(guard.Arrival{NameKnown: o.names.known(a.Call.Name), Taking: o.taking()}); why {
+	case guard.Allowed:
+		if a.Call.Name != "" {
+			o.names.take(a.Call.Name)
+		}
+	case guard.NameKnown:
+		o.watch.Refused("name known")
+		o.reply(c, a, o.protocol.Refusal(http.StatusConflict, "known", "", string(why)))
 		return
-	}
-	if !o.taking() {
-		o.shedCall(c, a, http.StatusServiceUnavailable, "this node is stopping", 0)
+	default:
+		o.shedCall(c, a, http.StatusServiceUnavailable, string(why), 0)
 		return
 	}
 	if a.excess {
@@ -85,10 +93,11 @@
 	if a.Call.GiveUp > 0 {
 		patience = min(patience, a.Call.GiveUp)
 	}
-	inf.giveUpAt = o.now + int64(patience)
+	inf.giveUpAt = o.arrivedAt() + int64(patience)
 	inf.whole = o.protocol.Collect(a.Call)
 	c.current = inf
 	o.infs[inf.id] = inf
+	o.monitor.Taken(inf.id, inf.name, inf.effect(d), int64(d.Routes[route].DedupWindow), inf.giveUpAt)
 	session := a.Call.Session
 	if session == "" {
 		session = inf.name // one of its own: the module must not take strangers for one session
@@ -99,10 +108,28 @@
 	o.forget(inf)
 }
 
+// effect is what a second run of an inference would do.
+func (inf *inference) effect(d *settings.Deployment) guard.Effect {
+	return guard.EffectOf(d.Routes[inf.route].Effect)
+}
+
+// lateStart is for how long the owner may not have looked before a request counts from then. Below it the time between
+// two looks is that of a node with little to do.
+const lateStart = 4 * sweepEvery
+
+// arrivedAt is when the time of a request begins that is handed over now: where the process was not run for a while, the
+// request may have waited all that time.
+func (o *Core) arrivedAt() int64 {
+	if since := o.sinceWhen(); o.now-since > lateStart {
+		return since
+	}
+	return o.now
+}
+
 // shedCall refuses a call that was never an inference. One that asks for the rest of a stream has run before, under
 // another name, so where it may not run twice a refusal, which says that a further try is harmless, would be untrue.
 func (o *Core) shedCall(c *Client, a *Asked, status int, why string, again time.Duration) {
-	o.watch.Shed(a.Call.Route, a.Call.Prompt)
+	o.watch.Shed(Shed{Request: a.Call.Name, Route: a.Call.Route, Why: why, Prompt: a.Call.Prompt})
 	if a.Call.Resumed && o.d.Routes[o.d.Route(a.Call.Route)].Effect != "retriable" {
 		o.reply(c, a, o.protocol.Errored("", why, false))
 		return
@@ -121,6 +148,9 @@
 			s.relay.Close()
 		}
 	}
+	if final != left {
+		o.monitor.Answered(inf.id, o.now)
+	}
 	o.answeredNow = append(o.answeredNow, inf)
 	o.gate.Done(inf.client.ID, inf.asked.Party)
 	o.log(inf, why)
@@ -176,6 +206,9 @@
 		}
 	}
 	o.letGo(inf)
+	if !slices.ContainsFunc(inf.sends, func(s *send) bool { return s.wroteAt > 0 }) {
+		o.names.free(inf.name)
+	}
 	o.forget(inf)
 }
 
@@ -190,6 +223,7 @@
 		}
 	}
 	delete(o.infs, inf.id)
+	o.monitor.Forget(inf.id)
 }
 
 func (o *Core) log(inf *inference, why string) {
--- a/node/leave.go
+++ b/node/leave.go
@@ -29,7 +29,7 @@
 // which a request is on its way gets its answer first, and is tried again behind it.
 func (o *Core) leaveClient(c *Client) {
 	if o.gone && o.d.Linger > 0 && o.gate.Quiet(c.ID) {
-		o.tryClose(c)
+		o.tryClose(c, CloseStopping)
 	}
 }
 
--- a/node/lines.go
+++ b/node/lines.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
 	"sandcourse/attempt"
 	"sandcourse/conns"
+	"sandcourse/guard"
 	"sandcourse/hold"
 )
 
@@ -43,6 +45,7 @@
 		s.line = l
 	}
 	if lease.Reused {
+		o.watch.Connection(engineID, ConnectionReused)
 		o.writeLine(l)
 		return true
 	}
@@ -59,11 +62,10 @@
 		return
 	}
 	if err != nil {
-		o.pool.Happen(l.ID, conns.DialFailed, o.now)
-		delete(o.lines, l.ID)
-		o.dropLoad(l, attempt.NoLine)
+		o.dialFailed(l, errors.Is(err, ErrLocal))
 		return
 	}
+	o.watch.Connection(l.Engine, Dialled)
 	l.socket = socket
 	o.pool.Happen(l.ID, conns.Dialled, o.now)
 	if l.send == nil && l.control == nil {
@@ -73,6 +75,19 @@
 	o.writeLine(l)
 }
 
+// dialFailed ends a line that did not come up. Where the cause is this machine's, it says nothing of the engine.
+func (o *Core) dialFailed(l *Line, here bool) {
+	o.pool.Happen(l.ID, conns.DialFailed, o.now)
+	delete(o.lines, l.ID)
+	if !here {
+		o.watch.Connection(l.Engine, DialFailed)
+		o.dropLoad(l, attempt.NoLine)
+		return
+	}
+	o.watch.Connection(l.Engine, DialFailedHere)
+	o.dropLoad(l, attempt.Barred)
+}
+
 // writeLine is where the first byte of a send goes out, so the drain gate stands here: news may have come
 // while the line was dialled.
 func (o *Core) writeLine(l *Line) {
@@ -81,12 +96,12 @@
 			o.ClientGone(s.inf.client)
 			return
 		}
-		if !attempt.MayWrite(o.now, o.told[l.Engine], int64(o.d.Rules.DrainGrace)) {
-			o.happen(s, attempt.Barred, "its engine drains or is gone")
-			return
-		}
-		if !o.mayRepeat(s) {
-			o.happen(s, attempt.Barred, "an earlier send may have run, and is not known any more")
+		if why := o.maySend(s, l); why != guard.Allowed {
+			if why == guard.Moved { // before anything else is sent: it must not find this line again
+				s.line, l.send = nil, nil
+				o.spoil(l)
+			}
+			o.happen(s, attempt.Barred, string(why))
 			return
 		}
 	}
@@ -98,6 +113,7 @@
 	if s := l.send; s != nil {
 		o.took |= 1 << s.machine.Happen(attempt.Connected).Row
 		s.wroteAt = o.now
+		o.monitor.Written(s.inf.id, s.n, s.writes, o.now, o.told[l.Engine], o.toldTime(s.inf))
 		if s.writes {
 			o.changeHolds(s.inf, hold.AttemptSent)
 		}
@@ -224,6 +240,7 @@
 func (o *Core) closeLine(id int64) {
 	if l := o.lines[id]; l != nil {
 		delete(o.lines, id)
+		o.watch.Connection(l.Engine, ConnectionClosed)
 		if l.socket != nil {
 			l.socket.Close()
 		}
@@ -235,6 +252,7 @@
 	if o.lines[l.ID] == l {
 		o.pool.Happen(l.ID, conns.Broken, o.now)
 		delete(o.lines, l.ID)
+		o.watch.Connection(l.Engine, ConnectionBroken)
 	}
 	o.dropLoad(l, attempt.Reset)
 }
--- a/node/module.go
+++ b/node/module.go
@@ -72,6 +72,7 @@
 		}
 		o.letGo(inf)
 		delete(o.infs, id)
+		o.monitor.Forget(id)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -5,11 +5,14 @@
 
 import (
 	"container/heap"
+	"errors"
 	"net/http"
 	"time"
 
 	"sandcourse/brain"
 	"sandcourse/dialect"
+	"sandcourse/guard"
+	"sandcourse/limits"
 )
 
 // Wire is what a core asks of the sockets. Its calls must not call back into the core.
@@ -54,6 +57,51 @@
 	Prompt, Tokens                        int
 }
 
+// Shed is a request that was refused before it was an inference.
+type Shed struct {
+	Request, Route, Why string
+	Prompt              int
+}
+
+// AttemptEnd is the end of one attempt, as logs have it.
+type AttemptEnd struct {
+	Request, Engine  string
+	Number           int
+	Decode           bool
+	Verdict, Why     string
+	Connecting, Took time.Duration // until it was written, 0 if it was not; and in all
+}
+
+// CloseReason is why the node closes a client's connection.
+type CloseReason string
+
+// The reasons for which the node closes a client's connection.
+const (
+	CloseIdle     CloseReason = "idle"            // it had its time between two requests
+	CloseStopping CloseReason = "stopping"        // the node ends, and its clients are to go elsewhere
+	CloseCrowded  CloseReason = "crowded"         // another client needs the room
+	CloseAnswered CloseReason = "last answer out" // the last answer on it has been written
+	CloseBroken   CloseReason = "stream broke"    // its client must not take what it has for the whole
+	CloseUnread   CloseReason = "not read"        // its client did not take its answer in time
+)
+
+// ConnectionEvent is what became of a connection to an engine.
+type ConnectionEvent string
+
+// The events of connections to engines.
+const (
+	Dialled          ConnectionEvent = "dialled"
+	DialFailed       ConnectionEvent = "dial failed"
+	DialFailedHere   ConnectionEvent = "dial failed on this machine"
+	ConnectionReused ConnectionEvent = "reused"
+	ConnectionBroken ConnectionEvent = "broken"
+	ConnectionClosed ConnectionEvent = "closed"
+)
+
+// ErrLocal marks the failure of a dial that says nothing of the engine: descriptors or ports of this machine, or a node
+// that ends.
+var ErrLocal = errors.New("the connection could not be made on this machine")
+
 // Release is what happened to a state that engines hold for a request.
 type Release string
 
@@ -72,9 +120,19 @@
 	Around(in brain.Input, step func()) // runs a step of the module
 	ModuleFailed(p any, in brain.Input, stack []byte)
 	Final(f Final)
-	Shed(route string, prompt int) // before it was an inference
+	Shed(s Shed) // before it was an inference
 	First(route string, after time.Duration, prompt int)
 	Refused(why string)
+	// Attempt tells of the end of an attempt.
+	Attempt(a AttemptEnd)
+	// Barred tells of an attempt that a gate held back.
+	Barred(request string, why guard.Reason)
+	// Violated tells of a rule that was broken.
+	Violated(v guard.Violation)
+	// Closed tells why the node closes a client's connection.
+	Closed(client int64, why CloseReason)
+	// Connection tells what became of a connection to an engine.
+	Connection(engine string, what ConnectionEvent)
 	// Released counts what became of a state that was held: see the reasons.
 	Released(how Release)
 	Listed(revision int64, engines int, unknown []string)
@@ -91,10 +149,16 @@
 	gone    bool
 	last    bool // nothing more is read; it is closed behind the answers to what was
 	closing bool // to be closed once all is written
-	cut     bool // and at once: its answer broke
-	out     []byte
-	dirty   bool
-	held    int
+	// unfinished is how far a request has come that is not whole: HeadBegan or HeadWhole; nothing of one where partial is
+	// not set.
+	unfinished limits.Input
+	partial    bool
+	// continues is set while the head of a request waits for the word to send its body.
+	continues bool
+	cut       bool // and at once: its answer broke
+	out       []byte
+	dirty     bool
+	held      int
 }
 
 // Asked is one request of a client, whole.
@@ -144,6 +208,7 @@
 		o.swept = o.now
 		o.sweep()
 	}
+	o.tellViolations()
 	for _, c := range o.dirty {
 		c.dirty = false
 		o.flush(c)
--- a/node/partial_test.go
+++ b/node/partial_test.go
@@ -116,6 +116,7 @@
 	if dialled := b.connect(); len(toldTimes(t, dialled)) != 0 {
 		t.Error("a request went to the old address on a connection that was dialled before")
 	}
+	b.pass(200 * time.Millisecond) // the module waits a little before another attempt
 	if len(b.dials) == 0 || b.dials[0].Host != "127.0.0.1:2" {
 		t.Error("the request is not sent to the new address")
 	}
@@ -154,4 +155,3 @@
 		}
 	}
 }
-
--- a/node/rules_test.go
+++ b/node/rules_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"sandcourse/brain"
+	"sandcourse/guard"
 	"sandcourse/node"
 	"sandcourse/platform"
 	"sandcourse/roster"
@@ -96,6 +97,7 @@
 }
 
 func (w *world) Dial(l *node.Line)                               { w.dialling = append(w.dialling, l) }
+func (w *world) Violated(v guard.Violation)                      { w.t.Fatalf("the monitor: %+v", v) }
 func (w *world) Around(_ brain.Input, step func())               { step() }
 func (w *world) ModuleFailed(p any, _ brain.Input, stack []byte) { w.t.Fatalf("%v\n%s", p, stack) }
 
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -24,6 +24,7 @@
 	{"P12", "the module never fails, and nothing is refused within the bounds"},
 	{"P13", "a call is refused before it is an inference only where as many are open as the node may hold"},
 	{"P14", "all nodes together send a cold engine no more than its budget"},
+	{"P15", "the node's own monitor finds no rule broken where none is"},
 	{"R1", "no plan lists an engine under an epoch under which it has another role"},
 	{"R2", "no edge, by whatever plan it still follows, has a send taken by an engine that has another role"},
 	{"R3", "no change leaves a role without an engine"},
--- a/prove/sim.go
+++ b/prove/sim.go
@@ -23,6 +23,7 @@
 	"sandcourse/chatline"
 	"sandcourse/engine"
 	"sandcourse/framing"
+	"sandcourse/guard"
 	"sandcourse/node"
 	"sandcourse/roster"
 	"sandcourse/settings"
@@ -380,8 +381,25 @@
 func (w watch) ModuleFailed(p any, in brain.Input, _ []byte) {
 	w.s.say("P12 the module fails on %T: %v", in, p)
 }
-func (w watch) Final(node.Final)                 {}
-func (w watch) Shed(string, int)                 {}
+func (w watch) Final(node.Final)        {}
+func (w watch) Shed(node.Shed)          {}
+func (w watch) Attempt(node.AttemptEnd) {}
+
+// Barred: the module must never ask for what would be a second run, or for two attempts at once.
+func (w watch) Barred(request string, why guard.Reason) {
+	switch why {
+	case guard.MayHaveRun:
+		w.s.say("P3 the module asks for an attempt of %s, though %s", request, why)
+	case guard.StillOut:
+		w.s.say("P2 the module asks for an attempt of %s, though %s", request, why)
+	}
+}
+func (w watch) Violated(v guard.Violation) {
+	w.s.say("P15 the node's own monitor says of %s: %s %s", v.Request, v.Rule, v.How)
+}
+func (w watch) Closed(int64, node.CloseReason)          {}
+func (w watch) Connection(string, node.ConnectionEvent) {}
+
 func (w watch) First(string, time.Duration, int) {}
 func (w watch) Refused(why string)               { w.s.say("P12 refused: %s", why) }
 func (w watch) Released(how node.Release) {
--- a/settings/facts.go
+++ b/settings/facts.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sandcourse/brain"
+	"sandcourse/guard"
 	"sandcourse/roster"
 )
 
@@ -19,6 +20,7 @@
 	if d.Given != nil {
 		f := maps.Clone(d.Given)
 		f["engine_facts.pin"] = pin
+		d.setWindows(f)
 		return f
 	}
 	f := map[string]any{
@@ -33,7 +35,7 @@
 	}
 	for i, t := range d.Routes {
 		for name, v := range map[string]any{"effect": t.Effect, "value": t.Value, "dedup_group": t.DedupGroup,
-			"first_token_target": float64(t.FirstToken), "dedup_window": float64(t.DedupWindow)} {
+			"first_token_target": float64(t.FirstToken)} {
 			f[fmt.Sprintf("routes.%d.%s", i, name)] = v
 		}
 		f[fmt.Sprintf("engine_facts.target_per_1000_tokens.%d", i)] = float64(t.PerTokns)
@@ -42,9 +44,18 @@
 		f[fmt.Sprintf("engine_facts.role_of_kind.%d", i)] = k.Role
 		f[fmt.Sprintf("engine_facts.memory_of_kind.%d", i)] = k.Memory
 	}
+	d.setWindows(f)
 	return f
 }
 
+// setWindows gives the module the windows for repeats as the node's gate keeps them, so that it does not ask for what the
+// gate holds back.
+func (d *Deployment) setWindows(f map[string]any) {
+	for i, t := range d.Routes {
+		f[fmt.Sprintf("routes.%d.dedup_window", i)] = float64(max(0, t.DedupWindow-guard.HoldUp))
+	}
+}
+
 // News turns a list into what the module hears. Entries of a kind that the settings do not name are returned
 // by id: they can't be sent to.
 func (d *Deployment) News(list roster.List) (news brain.EngineNews, unknown []string) {
