Tests of a word to go on within a stream, and of connections that fail on this machine, made to bite

They read on, and look at how attempts ended, now; each was seen to fail with its mend undone (100 Continue in the middle of a stream; attempts 'not connected' for want of descriptors).

--- a/edge/faults_test.go
+++ b/edge/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -10,6 +11,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // A client asks for one stream and sends, behind it, the head of a request that expects to be told to go on. That word
@@ -29,15 +33,13 @@
 		}
 		begun += line
 	}
-	head, body, _ := strings.Cut(wire("b", "chat"), "\r\n\r\n")
+	head, _, _ := strings.Cut(wire("b", "chat"), "\r\n\r\n")
 	client.send(head + "\r\nExpect: 100-continue\r\n\r\n")
 	client.conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
-	rest := make([]byte, 100)
-	size, _ := client.in.Read(rest)
-	if got := strings.TrimSpace(string(rest[:size])); got != "" {
+	rest, _ := io.ReadAll(client.in) // to the end of that time
+	if got := strings.TrimSpace(string(rest)); got != "" {
 		t.Fatalf("in the middle of a stream comes %q", got)
 	}
-	_ = body
 }
 
 // Where nothing is served before it, such a request is told to go on, and is answered.
@@ -73,7 +75,8 @@
 	for _, no := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.EMFILE} {
 		reader := newBox(t, "127.0.0.2", always(heldWire))
 		writer := newBox(t, "127.0.0.3", always(wholeStream))
-		n := newOnPlatform(t, 1024, nil, reader, writer)
+		core, seen := observer.New(zap.InfoLevel)
+		n := newLogged(t, 1024, nil, listed{engineAt("s-1", "m1", reader), engineAt("s-2", "m2", writer)}, zap.New(core))
 		var failed atomic.Int64
 		n.DialBy(func(ctx context.Context, address string) (net.Conn, error) {
 			if failed.Add(1) <= 3 {
@@ -92,5 +95,38 @@
 			t.Errorf("%v: %d connections were tried", no, failed.Load())
 		}
 		n.Stop()
+		for _, line := range seen.FilterMessage("attempt ended").All() {
+			t.Errorf("%v: an attempt ended badly: %v", no, line.ContextMap())
+		}
+	}
+}
+
+// A moment of it that lasts longer than a connection may take ends the attempt, and still says nothing of the engine.
+func TestConnectionThatFailsHereForLonger(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	core, seen := observer.New(zap.InfoLevel)
+	n := newLogged(t, 1024, nil, listed{engineAt("s-1", "m1", reader), engineAt("s-2", "m2", writer)}, zap.New(core))
+	begun := time.Now()
+	n.DialBy(func(ctx context.Context, address string) (net.Conn, error) {
+		if time.Since(begun) < 400*time.Millisecond {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+	startReady(t, n)
+	defer n.Stop()
+	if status, body, err := call(t, n, "a", "alert"); status != 200 || err != nil || body != allEvents {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	ended := seen.FilterMessage("attempt ended").All()
+	for _, line := range ended {
+		if verdict := line.ContextMap()["verdict"]; verdict != "not sent" {
+			t.Errorf("an attempt for which there was no descriptor ended as %q", verdict)
+		}
+	}
+	if len(ended) == 0 {
+		t.Error("no attempt met the want of descriptors")
 	}
 }
--- a/edge/platform_test.go
+++ b/edge/platform_test.go
@@ -168,6 +168,12 @@
 
 // newOnSource is a node on the platform that has its engines from a source, before its start.
 func newOnSource(t *testing.T, sockets int, alter func(*settings.Deployment), source roster.Source) *edge.Node {
+	t.Helper()
+	return newLogged(t, sockets, alter, source, zap.NewNop())
+}
+
+// newLogged is newOnSource with a log.
+func newLogged(t *testing.T, sockets int, alter func(*settings.Deployment), source roster.Source, log *zap.Logger) *edge.Node {
 	t.Helper()
 	told, err := platform.ReadTold("test", fmt.Appendf(nil, platformTold, sockets))
 	if err != nil {
@@ -181,7 +187,7 @@
 	if alter != nil {
 		alter(d)
 	}
-	return edge.NewOn(d, zap.NewNop(), source, 1, platform.New(told.Reports()))
+	return edge.NewOn(d, log, source, 1, platform.New(told.Reports()))
 }
 
 func startReady(t *testing.T, n *edge.Node) {
