Starts: held addresses and a full disk are waited for; engines' starts count on the node's clock

Cause: a listen that failed ended the node (edge.Start); plan.Open took every error but three for damage and put the good store aside (store.go), and a failed first start left an empty file; brain.cold compared stamps of other machines' wall clocks with the node's clock at every look. Open: a node that starts with a clock ahead takes engines of its first list that came up just before for warm ones; nothing told to it differs then.

--- a/cmd/sandcourse-edge/platform.go
+++ b/cmd/sandcourse-edge/platform.go
@@ -8,30 +8,47 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 
 	"sandcourse/discover"
 	"sandcourse/edge"
+	"sandcourse/netfault"
 	"sandcourse/platform"
 	"sandcourse/script"
 )
 
+// A configuration that cannot be opened at the start, for want of descriptors or memory, is tried again for a while.
+const (
+	openTries = 100
+	openPause = 50 * time.Millisecond
+)
+
 // readTold reads the platform's configuration; the error, if any, is of type script.Faults.
 func readTold(file string) (*platform.Told, error) {
+	data, err := readBounded(file)
+	for tries := 1; netfault.Local(err) && tries < openTries; tries++ {
+		time.Sleep(openPause)
+		data, err = readBounded(file)
+	}
+	if err != nil {
+		return nil, script.Faults{fmt.Sprintf("%s: %v", file, err)}
+	}
+	return platform.ReadTold(file, data)
+}
+
+func readBounded(file string) ([]byte, error) {
 	f, err := os.Open(file)
 	if err != nil {
-		return nil, script.Faults{err.Error()}
+		return nil, err
 	}
 	defer f.Close()
 	data, err := io.ReadAll(io.LimitReader(f, platform.MaxTold+1))
 	if err == nil && len(data) > platform.MaxTold {
 		err = errors.New("it is over its bound")
 	}
-	if err != nil {
-		return nil, script.Faults{fmt.Sprintf("%s: %v", file, err)}
-	}
-	return platform.ReadTold(file, data)
+	return data, err
 }
 
 // onPlatform runs the node that the platform's configuration describes, until SIGTERM. A further SIGTERM changes nothing:
--- a/cmd/sandcourse-edge/signals_test.go
+++ b/cmd/sandcourse-edge/signals_test.go
@@ -248,3 +248,20 @@
 	}()
 	return began
 }
+
+// The process before it may hold a node's address a little longer: the node waits for it.
+func TestAddressStillHeld(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(nodeConfig, 0, held.Addr().String(), freeAddress(t), 1, someList, 0, 1)
+	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	startCommand(t, exec.Command(edgeBinary(t), "--config", config))
+	time.Sleep(500 * time.Millisecond) // for so long the address is held
+	held.Close()
+	(&processes{t: t}).awaitReady(held.Addr().String())
+}
--- a/edge/barrier.go
+++ b/edge/barrier.go
@@ -67,7 +67,7 @@
 		found++
 		s.conn.SetSession(s)
 		n.connOpened()
-		if _, err := engine.AddConn(s.conn); err != nil {
+		if _, err := engine.AddConn(s.conn); err != nil { // it is closed by then
 			return fmt.Errorf("watch an event descriptor: %w", err)
 		}
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -39,7 +39,10 @@
 	p.all, _ = netip.ParseAddrPort(all)
 	at, err := net.ResolveUDPAddr("udp", listen)
 	if err == nil {
-		p.conn, err = net.ListenUDP("udp", at)
+		err = untilItStands(n.alive, func() (err error) {
+			p.conn, err = net.ListenUDP("udp", at)
+			return err
+		})
 	}
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w", listen, err)
--- a/node/core.go
+++ b/node/core.go
@@ -38,6 +38,7 @@
 	armed  int64
 
 	list   *roster.List
+	starts starts
 	told   attempt.Told
 	listed []string // all engines ever listed
 	// answeredAt is when an engine's last answer began.
--- a/node/digest.go
+++ b/node/digest.go
@@ -60,6 +60,9 @@
 	for _, engine := range slices.Sorted(maps.Keys(o.told)) {
 		fmt.Fprintln(w, "told", engine, o.now-o.told[engine])
 	}
+	for _, engine := range slices.Sorted(maps.Keys(o.starts.known)) {
+		fmt.Fprintln(w, "start", engine, o.now-o.starts.known[engine].at)
+	}
 	fmt.Fprintln(w, o.swept-o.now, o.lives)
 }
 
--- a/node/engines.go
+++ b/node/engines.go
@@ -48,6 +48,7 @@
 
 // TakeList takes a list of engines, which replaces the one before.
 func (o *Core) TakeList(list roster.List) {
+	list.Engines = o.starts.settle(list.Engines, o.now)
 	news, unknown := o.d.News(list)
 	ready := map[string]bool{}
 	for _, e := range news.Engines {
--- /dev/null
+++ b/node/starts.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"time"
+
+	"sandcourse/roster"
+)
+
+// lateNews is how old a start may be of which this node hears while it runs: lists come seconds late, and discovery may be
+// down for longer. A start that seems older was stamped by a clock that differs from this node's, and counts from when it
+// was heard of, so that the engine is taken for a cold one.
+const lateNews = 30 * time.Second
+
+// start is when an engine came up, as it was told and on this node's clock.
+type start struct {
+	told int64 // in the list's own units
+	at   int64
+}
+
+// starts turn the starts that lists tell into times on the node's own clock. Machines stamp them with their wall clocks,
+// which may be stepped, while the node's clock runs on; so a start is compared with the clock once, when it is first heard
+// of, and what is told of it is only compared with what was told before.
+type starts struct {
+	known map[string]start
+	began bool // a list has come: what is new since came up while this node ran
+}
+
+const perMilli = int64(time.Millisecond)
+
+// settle gives the entries of a list their starts on the node's clock, and forgets engines that are not listed.
+func (s *starts) settle(engines []roster.Entry, now int64) []roster.Entry {
+	next := make(map[string]start, len(engines))
+	out := make([]roster.Entry, len(engines))
+	for i, e := range engines {
+		if e.UpSince > 0 {
+			known := s.of(e, now)
+			next[e.Engine] = known
+			e.UpSince = known.at / perMilli
+		}
+		out[i] = e
+	}
+	s.known, s.began = next, true
+	return out
+}
+
+func (s *starts) of(e roster.Entry, now int64) start {
+	before, known := s.known[e.Engine]
+	if known && before.told == e.UpSince {
+		return before
+	}
+	at := e.UpSince * perMilli
+	if at > now || s.began && now-at > int64(lateNews) {
+		at = now
+	}
+	// A new start is never before the last one, whatever the clocks say.
+	return start{told: e.UpSince, at: max(at, before.at+perMilli)}
+}
--- /dev/null
+++ b/node/starts_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"sandcourse/roster"
+)
+
+// Engines stamp their starts by wall clocks that may be stepped. A start that is heard of while the node runs is a cold
+// start, whatever it is stamped with, and each change of it is another one.
+func TestStartsOnSteppedClocks(t *testing.T) {
+	const now = int64(1_000_000_000) * perMilli
+	hour := int64(time.Hour) / perMilli
+	cases := map[string]struct {
+		told  int64
+		first bool // in the node's first list
+		age   time.Duration
+	}{
+		"as it is":                      {told: now/perMilli - 3000, age: 3 * time.Second},
+		"this clock is an hour ahead":   {told: now/perMilli - hour, age: 0},
+		"this clock is an hour behind":  {told: now/perMilli + hour, age: 0},
+		"warm when the node came up":    {told: now/perMilli - hour, first: true, age: time.Hour},
+		"behind, when the node came up": {told: now/perMilli + hour, first: true, age: 0},
+	}
+	for name, c := range cases {
+		s := starts{}
+		if !c.first {
+			s.settle(nil, now-perMilli)
+		}
+		row := s.settle([]roster.Entry{{Engine: "e", UpSince: c.told}}, now)
+		if age := time.Duration(now - row[0].UpSince*perMilli); age != c.age {
+			t.Errorf("%s: the engine is taken to be %v old, want %v", name, age, c.age)
+		}
+		// Time passes, and the same start is told again: it stays.
+		again := s.settle([]roster.Entry{{Engine: "e", UpSince: c.told}}, now+int64(time.Minute))
+		if again[0].UpSince != row[0].UpSince {
+			t.Errorf("%s: the same start moves by %d ms", name, again[0].UpSince-row[0].UpSince)
+		}
+		// It starts anew, stamped by a clock that was set back meanwhile.
+		anew := s.settle([]roster.Entry{{Engine: "e", UpSince: c.told - hour}}, now+2*int64(time.Minute))
+		if anew[0].UpSince <= row[0].UpSince {
+			t.Errorf("%s: a start stamped by a clock that was set back is not seen", name)
+		}
+	}
+	s := starts{}
+	if row := s.settle([]roster.Entry{{Engine: "e"}}, now); row[0].UpSince != 0 {
+		t.Error("an engine that came up long ago is given a start")
+	}
+	for i := range 100 {
+		s.settle([]roster.Entry{{Engine: string(rune('a' + i)), UpSince: 1}}, now)
+	}
+	if len(s.known) != 1 {
+		t.Errorf("%d engines are remembered, one is listed", len(s.known))
+	}
+}
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -92,9 +93,32 @@
 // clock is Unix nanoseconds that never go back within a life.
 func (p *Planner) clock() int64 { return p.began.UnixNano() + int64(time.Since(p.began)) }
 
+// A disk may be full or fail for a while: the store is tried again for so long before the planner gives its start up.
+const (
+	storeTime  = 30 * time.Second
+	storePause = 200 * time.Millisecond
+)
+
+func (p *Planner) openStore() (*Store, Kept, error) {
+	end := time.Now().Add(storeTime)
+	for {
+		store, kept, err := Open(p.d.Store)
+		if err == nil || !retriable(err) || time.Now().After(end) {
+			return store, kept, err
+		}
+		p.log.Warn("store", zap.Error(err))
+		time.Sleep(storePause)
+	}
+}
+
+// retriable is whether the system may let a store be opened later. What is not there or not permitted stays so.
+func retriable(err error) bool {
+	return ofTheSystem(err) && !errors.Is(err, os.ErrPermission) && !errors.Is(err, os.ErrNotExist)
+}
+
 // Start opens the store, takes a new term, and runs until Stop.
 func (p *Planner) Start() error {
-	store, kept, err := Open(p.d.Store)
+	store, kept, err := p.openStore()
 	if err != nil {
 		return err
 	}
--- a/plan/store.go
+++ b/plan/store.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,17 +44,20 @@
 }
 
 // Open opens the store at path, or makes it. A file that is damaged as a whole is put beside under another
-// name, and an empty one takes its place: engines are asked for their roles then.
+// name, and an empty one takes its place: engines are asked for their roles then. Where the disk or the machine fails, the
+// file stays as it is, and the error is told.
 func Open(path string) (*Store, Kept, error) {
 	s := &Store{path: path}
 	kept, err := s.open()
-	if err == nil || errors.Is(err, ErrTaken) || errors.Is(err, os.ErrPermission) || errors.Is(err,
-		os.ErrNotExist) {
-		return s, kept, err
+	if err == nil {
+		return s, kept, nil
 	}
 	if s.db != nil {
 		s.db.Close()
 	}
+	if errors.Is(err, ErrTaken) || ofTheSystem(err) {
+		return s, kept, err
+	}
 	aside := fmt.Sprintf("%s.damaged-%d", path, time.Now().Unix())
 	if e := os.Rename(path, aside); e != nil {
 		return s, kept, errors.Join(err, e)
@@ -64,6 +68,52 @@
 	return s, kept, err
 }
 
+// ofTheSystem is whether an error is that of a system call, as on a full or failing disk, or where descriptors have run
+// out. It says nothing of what the file holds.
+func ofTheSystem(err error) bool {
+	var no syscall.Errno
+	return errors.As(err, &no)
+}
+
+// freshEnding is of the name under which a new store is made. It gets its own name once it is whole.
+const freshEnding = ".new"
+
+// makeFresh makes an empty store where there is none. A start that fails in the middle leaves nothing under the store's name.
+func makeFresh(path string) error {
+	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	fresh := path + freshEnding
+	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	db, err := bbolt.Open(fresh, 0o600, &bbolt.Options{Timeout: time.Second})
+	if err == nil {
+		err = errors.Join(makeBuckets(db), db.Close())
+	}
+	if err != nil {
+		os.Remove(fresh)
+		return err
+	}
+	defer os.Remove(fresh)
+	// A link, and not a new name: another planner may have made the store meanwhile, and have it open.
+	if err := os.Link(fresh, path); !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	return nil
+}
+
+func makeBuckets(db *bbolt.DB) error {
+	return db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{recordsBucket, metaBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 func (s *Store) open() (kept Kept, err error) {
 	// bbolt reads its pages from mapped memory as they are: a damaged one ends in a panic, or a fault. Its
 	// locks are not given back then, so what it opened is left as it is.
@@ -74,6 +124,9 @@
 		}
 	}()
 	s.db = nil
+	if err := makeFresh(s.path); err != nil {
+		return kept, fmt.Errorf("store %s: %w", s.path, err)
+	}
 	if err := wholeFile(s.path); err != nil {
 		return kept, fmt.Errorf("store %s: %w", s.path, err)
 	}
@@ -84,15 +137,7 @@
 		return kept, fmt.Errorf("store %s: %w", s.path, err)
 	}
 	s.db = db
-	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{recordsBucket, metaBucket} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err != nil {
+	if err := makeBuckets(db); err != nil {
 		return kept, fmt.Errorf("store %s: %w", s.path, err)
 	}
 	err = db.View(func(tx *bbolt.Tx) error {
