--- a/cmd/sandcourse/main.go
+++ b/cmd/sandcourse/main.go
@@ -22,7 +22,7 @@
 func main() {
 	root := &cobra.Command{Use: "sandcourse", Short: "Routes inferences over engines that read and engines that write",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demoCommand(), checkCommand(), standinCommand(), loadCommand(), baddayCommand(), proveCommand(), rolesCommand(), labCommand(),
+	root.AddCommand(demoCommand(), soakCommand(), checkCommand(), standinCommand(), loadCommand(), baddayCommand(), proveCommand(), rolesCommand(), labCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "sandcourse", version) }})
 	err := root.Execute()
--- /dev/null
+++ b/cmd/sandcourse/soak.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sandcourse/soak"
+)
+
+func soakCommand() *cobra.Command {
+	config := soak.Config{}
+	seeds := 1
+	c := &cobra.Command{Use: "soak", Short: "Real nodes against troubles that overlap, judged by the rules", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			faults := 0
+			for i := range seeds {
+				one := config
+				one.Seed += uint64(i)
+				report, err := soak.Run(context.Background(), one)
+				if err != nil {
+					return err
+				}
+				fmt.Fprint(cmd.OutOrStdout(), report)
+				faults += len(report.Faults)
+			}
+			if faults > 0 {
+				return errors.New("faults were found")
+			}
+			return nil
+		}}
+	beside := ""
+	if self, err := os.Executable(); err == nil {
+		beside = filepath.Join(filepath.Dir(self), "sandcourse-edge")
+	}
+	f := c.Flags()
+	f.StringVar(&config.Edge, "edge", beside, "the node's binary")
+	f.Uint64Var(&config.Seed, "seed", 1, "the first seed; it draws the troubles")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds are played, one after the other")
+	f.IntVar(&config.Nodes, "nodes", 24, "how many nodes, each a process")
+	f.IntVar(&config.Engines, "engines", 6, "how many stand-in engines of each role")
+	f.IntVar(&config.Clients, "clients", 60, "how many clients ask at the same time")
+	f.DurationVar(&config.Length, "for", 20*time.Second, "how long the troubles last")
+	f.StringVar(&config.Folder, "folder", filepath.Join(os.TempDir(), "sandcourse-soak"), "for configurations and logs")
+	return c
+}
--- /dev/null
+++ b/soak/client.go
@@ -0,0 +1,274 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"sandcourse/audit"
+	"sandcourse/platform"
+)
+
+// longestDeadline is the longest time that a client waits for its first event.
+const longestDeadline = 3 * time.Second
+
+// rudeTime is within what a client that sends no whole request is owed an error or a close, with what a loaded machine adds.
+const rudeTime = 3*time.Second + time.Second
+
+// client asks one node after the other, as a front hands it over, and keeps a connection to each.
+type client struct {
+	run    *run
+	number int
+	random *rand.Rand
+	conns  map[*node]*clientConn
+	asked  int
+}
+
+type clientConn struct {
+	conn net.Conn
+	in   *bufio.Reader
+	used bool
+}
+
+var classes = []string{"chat", "chat", "label", "alert"}
+
+// work asks until the run ends.
+func (c *client) work(end time.Time) {
+	defer c.closeAll()
+	for time.Now().Before(end) {
+		n := c.run.nodes[c.random.IntN(len(c.run.nodes))]
+		switch c.random.IntN(20) {
+		case 0:
+			c.half(n)
+		case 1:
+			c.pipeline(n)
+		default:
+			c.ask(n)
+		}
+		time.Sleep(time.Duration(c.random.Int64N(int64(120 * time.Millisecond))))
+	}
+}
+
+func (c *client) closeAll() {
+	for _, conn := range c.conns {
+		conn.conn.Close()
+	}
+}
+
+func (c *client) connect(n *node) (*clientConn, error) {
+	if conn := c.conns[n]; conn != nil {
+		return conn, nil
+	}
+	conn, err := net.DialTimeout("tcp", n.addr, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	c.conns[n] = &clientConn{conn: conn, in: bufio.NewReader(conn)}
+	return c.conns[n], nil
+}
+
+func (c *client) drop(n *node) {
+	if conn := c.conns[n]; conn != nil {
+		conn.conn.Close()
+		delete(c.conns, n)
+	}
+}
+
+// request is one request in the platform's form.
+type request struct {
+	name, class string
+	wait        time.Duration
+}
+
+func (c *client) request(n *node) request {
+	c.asked++
+	class := classes[c.random.IntN(len(classes))]
+	return request{name: fmt.Sprintf("%s-c%dq%d", n.name(), c.number, c.asked), class: class,
+		wait: longestDeadline/3 + time.Duration(c.random.Int64N(int64(longestDeadline*2/3)))}
+}
+
+func (r request) text() string {
+	body := `{"model":"chat","messages":[]}`
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %s\r\n%s: s%s\r\n%s: %.3f\r\nContent-Length: %d\r\n\r\n%s",
+		platform.CallPath, platform.HeaderName, r.name, platform.HeaderRoute, r.class, platform.HeaderSession, r.name[len(r.name)-2:],
+		platform.HeaderGiveUp, r.wait.Seconds(), len(body), body)
+}
+
+// ask sends one request and judges its answer. One in ten clients leaves early. Where the close of a resting connection
+// crosses it, it is sent once more on a new one.
+func (c *client) ask(n *node) {
+	r := c.request(n)
+	call := audit.Call{Request: r.name, Inference: r.name, Route: r.class, Edge: n.name(), Sent: time.Now()}
+	call.GiveUp = call.Sent.Add(r.wait)
+	leaves := c.random.IntN(10) == 0
+	for again := false; ; again = true {
+		conn, err := c.connect(n)
+		if err != nil {
+			return // it was never taken
+		}
+		reused := conn.used
+		conn.used = true
+		conn.conn.SetDeadline(call.GiveUp.Add(5 * time.Second))
+		if leaves {
+			conn.conn.SetDeadline(call.Sent.Add(time.Duration(c.random.Int64N(int64(r.wait)))))
+		}
+		_, err = io.WriteString(conn.conn, r.text())
+		if err == nil {
+			err = c.answer(conn, &call)
+		}
+		call.End = time.Now()
+		if err != nil {
+			c.drop(n)
+		}
+		if call.Final == "" && reused && !again && !errors.Is(err, errTimeout) {
+			continue // the close of a resting connection has crossed it
+		}
+		c.judge(n, &call, leaves, err)
+		return
+	}
+}
+
+var errTimeout = errors.New("the client's time is over")
+
+// answer reads one answer; an error says that the connection serves no further use.
+func (c *client) answer(conn *clientConn, call *audit.Call) error {
+	answer, err := http.ReadResponse(conn.in, nil)
+	if err != nil {
+		return timeout(err)
+	}
+	defer answer.Body.Close()
+	call.Finals = 1
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(answer.Body, first); err != nil && !errors.Is(err, io.EOF) {
+		call.Final = "errored"
+		return timeout(err)
+	}
+	if answer.StatusCode == http.StatusOK {
+		call.First = time.Since(call.Sent)
+	}
+	rest, err := io.ReadAll(answer.Body)
+	switch {
+	case answer.StatusCode == http.StatusOK && err == nil && strings.Contains(string(rest), "[DONE]"):
+		call.Final = "completed"
+	case answer.StatusCode == http.StatusOK && err == nil:
+		call.Final, call.Why = "completed", "a stream without its end came with its last chunk"
+		c.run.fault("%s: a stream without its end came with its last chunk: %q", call.Request, rest)
+	case answer.StatusCode == http.StatusOK:
+		call.Final = "errored" // the stream broke
+	case answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests:
+		call.Final = "shed"
+	default:
+		call.Final = "errored"
+	}
+	c.run.count(fmt.Sprint(answer.StatusCode))
+	if err != nil {
+		return timeout(err)
+	}
+	if answer.Close {
+		return errors.New("the node closes")
+	}
+	return nil
+}
+
+func timeout(err error) error {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return errTimeout
+	}
+	return err
+}
+
+// judge notes how a call ended. A connection that broke without an answer has lost what was taken on it, unless its node
+// was ending or not there.
+func (c *client) judge(n *node, call *audit.Call, leaves bool, err error) {
+	switch {
+	case call.Final != "":
+	case leaves:
+		call.Final = "left"
+	case n.wasAway(call.Sent, call.End):
+		call.Final = "left" // a new connection may be closed unread then; an ending node's are judged by engines' records
+		c.run.unanswered.Add(1)
+	default:
+		call.Final, call.Why = "lost", fmt.Sprint(err)
+	}
+	c.run.log.Hear(*call)
+}
+
+// half sends a part of a request and stays: an error or a close is owed to it.
+func (c *client) half(n *node) {
+	conn, err := net.DialTimeout("tcp", n.addr, time.Second)
+	if err != nil {
+		return
+	}
+	r := c.request(n)
+	text := r.text()
+	cut := 1 + c.random.IntN(len(text)-1)
+	before := ""
+	if c.random.IntN(2) == 0 { // behind a request that is served
+		before = c.request(n).text()
+	}
+	c.run.others.Go(func() {
+		defer conn.Close()
+		if _, err := io.WriteString(conn, before+text[:cut]); err != nil {
+			return
+		}
+		begun := time.Now()
+		owed := rudeTime
+		if before != "" {
+			owed += longestDeadline + time.Second // until the one before is served
+		}
+		conn.SetDeadline(begun.Add(owed))
+		answers, err := io.ReadAll(conn)
+		if errors.Is(timeout(err), errTimeout) && !n.wasAway(begun, time.Now()) {
+			c.run.fault("%s: half a request (%d bytes, behind another: %v) has no error and no close after %v; got %q",
+				n.name(), cut, before != "", owed, answers)
+		}
+		c.run.count("half")
+	})
+}
+
+// pipeline sends some requests at once; all are answered, in order.
+func (c *client) pipeline(n *node) {
+	conn, err := net.DialTimeout("tcp", n.addr, time.Second)
+	if err != nil {
+		return
+	}
+	var row []request
+	text := ""
+	for range 2 + c.random.IntN(4) {
+		r := c.request(n)
+		r.wait = longestDeadline
+		row = append(row, r)
+		text += r.text()
+	}
+	c.run.others.Go(func() {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		begun := time.Now()
+		conn.SetDeadline(begun.Add(time.Duration(len(row)) * 2 * longestDeadline))
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		for i, r := range row {
+			answer, err := http.ReadResponse(in, nil)
+			if err != nil {
+				if !n.wasAway(begun, time.Now()) {
+					c.run.fault("%s: %d of %d requests sent at once have no answer: %v", r.name, len(row)-i, len(row), err)
+				}
+				return
+			}
+			_, err = io.Copy(io.Discard, answer.Body)
+			answer.Body.Close()
+			if err != nil || answer.Close {
+				return // a stream broke: its connection ends with those that wait behind it
+			}
+		}
+		c.run.count("pipelined")
+	})
+}
--- /dev/null
+++ b/soak/node.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// node is one node under test: an address, a configuration, and the process that runs now.
+type node struct {
+	number int
+	group  int
+	addr   string
+	config string
+	run    *run
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	ending  bool // it was told to end, or killed
+	taken   bool // by a trouble
+	life    int
+	// away are the times in which the process was ending or not there: clients' calls then may find nobody.
+	away []span
+}
+
+// span is a time; to is zero while it lasts.
+type span struct{ from, to time.Time }
+
+func (n *node) name() string { return fmt.Sprintf("n%d", n.number) }
+
+// configText is a configuration in the platform's form.
+const configText = `{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"memory_mb":128,"sockets":512},"known":%s,
+ "settings":{"areas":["a"],"zone":0,"index":%d,"peers_total":%d,"tick_us":4000,"flavors":["read","write"],"ceilings":{
+ "try_limit":5,"cancel":true,"probes":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000,
+ "conn_idle_us":5000000},"report":{"how":"inline","fields":["x0","x1"]},"family_info":{"stage_of_kind":["read","write"],
+ "pin_limit_us":1000000,"kind_memory_tokens":[1000000,1000000]},"classes":[
+ {"name":"chat","effect":"retryable","worth":1,"objective_us":900000},
+ {"name":"label","effect":"dedup","dedup_scope":"all","memory_span_us":1000000,"worth":1,"objective_us":900000},
+ {"name":"alert","effect":"fragile","worth":5,"objective_us":900000}],"obligations":{"drain_grace_us":250000}}}`
+
+// configure writes the configuration as it is now. Half leaves off its end, as an editor does for a moment.
+func (n *node) configure(half bool) error {
+	text := fmt.Sprintf(configText, n.number, n.addr, n.run.discovery.agentAddr(n.group), n.life+1, n.run.discovery.whole(n.group),
+		n.number, len(n.run.nodes))
+	if half {
+		text = text[:len(text)/2]
+	}
+	return os.WriteFile(n.config, []byte(text), 0o600)
+}
+
+func (d *discovery) agentAddr(group int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.agents[group].addr
+}
+
+// start begins a life of the node.
+func (n *node) start() error {
+	if err := n.configure(false); err != nil {
+		return err
+	}
+	command := exec.Command(n.run.config.Edge, "--config", n.config)
+	output, err := command.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	n.mu.Lock()
+	n.process, n.exited, n.ending = command, exited, false
+	n.life++
+	life := n.life
+	n.mu.Unlock()
+	go func() {
+		n.run.readLog(n.name(), life, output)
+		err := command.Wait()
+		n.mu.Lock()
+		ending := n.ending
+		n.mu.Unlock()
+		if !ending {
+			n.run.fault("%s life %d ended by itself: %v", n.name(), life, err)
+		}
+		close(exited)
+	}()
+	return nil
+}
+
+// logLine is what the run looks at in a node's log.
+type logLine struct {
+	Level, Msg, Rule, Inference, How string
+}
+
+// readLog keeps a node's log, and takes broken rules from it.
+func (r *run) readLog(name string, life int, from io.Reader) {
+	file, err := os.Create(filepath.Join(r.folder, fmt.Sprintf("%s.%d.log", name, life)))
+	if err != nil {
+		r.fault("log of %s: %v", name, err)
+		io.Copy(io.Discard, from)
+		return
+	}
+	defer file.Close()
+	lines := bufio.NewReader(from)
+	for {
+		line, err := lines.ReadBytes('\n')
+		file.Write(line)
+		if bytes.Contains(line, []byte(`"msg":"rule broken"`)) || bytes.Contains(line, []byte(`"msg":"module failed"`)) {
+			var l logLine
+			if json.Unmarshal(line, &l) == nil {
+				r.fault("%s life %d says: %s %s %s %s", name, life, l.Msg, l.Rule, l.Inference, l.How)
+			}
+		}
+		if bytes.HasPrefix(line, []byte("panic:")) || bytes.HasPrefix(line, []byte("fatal error:")) {
+			r.fault("%s life %d: %s", name, life, strings.TrimSpace(string(line)))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// signal sends a signal to the process that runs now, if there is one.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		n.process.Process.Signal(s)
+	}
+}
+
+// limitDescriptors leaves the process a few descriptors more than it has, for a time.
+func (n *node) limitDescriptors(more uint64, length time.Duration) error {
+	n.mu.Lock()
+	pid := n.process.Process.Pid
+	n.mu.Unlock()
+	var before unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
+		return err
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return err
+	}
+	few := unix.Rlimit{Cur: uint64(len(open)) + more, Max: before.Max}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		return err
+	}
+	time.Sleep(length)
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil)
+}
+
+// Times of a planned restart, from the platform's page: the kill comes 0.7 s after the longest deadline.
+const killAfter = longestDeadline + 700*time.Millisecond
+
+// stop ends a life: by SIGTERM and, where the process has not ended by then, SIGKILL; or by SIGKILL at once. While it ends,
+// meanwhile is run.
+func (n *node) stop(kill bool, meanwhile func()) {
+	n.mu.Lock()
+	n.ending = true
+	process, exited := n.process, n.exited
+	n.away = append(n.away, span{from: time.Now()})
+	n.mu.Unlock()
+	if !kill {
+		process.Process.Signal(syscall.SIGTERM)
+		if meanwhile != nil {
+			meanwhile()
+		}
+		select {
+		case <-exited:
+			return
+		case <-time.After(killAfter):
+		}
+	}
+	process.Process.Signal(syscall.SIGKILL)
+	<-exited
+}
+
+// back notes that the node is there again.
+func (n *node) back() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if last := len(n.away) - 1; last >= 0 && n.away[last].to.IsZero() {
+		n.away[last].to = time.Now()
+	}
+}
+
+// wasAway is whether the node was ending or not there at any moment of a time.
+func (n *node) wasAway(from, to time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.away {
+		if s.from.Before(to) && (s.to.IsZero() || from.Before(s.to)) {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitReady waits until the node says that it is ready.
+func (n *node) awaitReady(most time.Duration) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		answer, err := client.Get("http://" + n.addr + "/_health")
+		if err != nil {
+			continue
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return errors.New(n.name() + " is not ready in " + most.String())
+}
+
+// freeAddress is an address on which nobody listens.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what a proxy does to the connections that go through it.
+type Fault uint8
+
+// The faults.
+const (
+	Pass   Fault = iota
+	Silent       // nothing passes, no connection ends, new ones come up and stay silent
+	Refuse       // new connections are reset at once, open ones pass
+)
+
+// Proxy stands between the nodes of one group and one address. Both sides believe that they talk to each other.
+type Proxy struct {
+	listener net.Listener
+	target   string
+	// onNodeClosed is told when the node's side of a connection has ended, with the address by which the target knows it.
+	onNodeClosed func(address string)
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	fault   Fault
+	links   map[*proxyLink]bool
+	closed  bool
+}
+
+type proxyLink struct{ node, target net.Conn }
+
+// NewProxy listens on a port of its own.
+func NewProxy(target string, onNodeClosed func(address string)) (*Proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: listener, target: target, onNodeClosed: onNodeClosed, links: map[*proxyLink]bool{}}
+	p.changed = sync.NewCond(&p.mu)
+	go p.run()
+	return p, nil
+}
+
+// Addr is where nodes connect.
+func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+
+// Set begins a fault, or ends it by Pass.
+func (p *Proxy) Set(f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	p.changed.Broadcast()
+}
+
+// ResetAll resets all open connections on both sides.
+func (p *Proxy) ResetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.links {
+		reset(l.node)
+		reset(l.target)
+	}
+}
+
+// Close ends it and its connections.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.changed.Broadcast()
+	p.mu.Unlock()
+	p.listener.Close()
+	p.ResetAll()
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+func (p *Proxy) run() {
+	for {
+		node, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		go p.serve(node)
+	}
+}
+
+// wait returns once bytes may pass; false where the proxy has been closed.
+func (p *Proxy) wait() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.fault == Silent && !p.closed {
+		p.changed.Wait()
+	}
+	return !p.closed
+}
+
+func (p *Proxy) current() Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *Proxy) serve(node net.Conn) {
+	if p.current() == Refuse {
+		reset(node)
+		return
+	}
+	target, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(node)
+		return
+	}
+	link := &proxyLink{node, target}
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		reset(node)
+		reset(target)
+		return
+	}
+	p.links[link] = true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(target, node, true, target.LocalAddr().String()) })
+	both.Go(func() { p.copy(node, target, false, "") })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.links, link)
+	p.mu.Unlock()
+	node.Close()
+	target.Close()
+}
+
+// copy passes bytes on. The end of the node's side is told at once, and passed on when bytes may pass.
+func (p *Proxy) copy(to, from net.Conn, fromNode bool, address string) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil && fromNode && p.onNodeClosed != nil {
+			p.onNodeClosed(address)
+		}
+		if !p.wait() {
+			return
+		}
+		if n > 0 {
+			if _, e := to.Write(buffer[:n]); e != nil {
+				reset(from)
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			to.Close()
+			from.Close()
+			return
+		case err != nil:
+			reset(to)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,324 @@
+// Package soak plays a few dozen real nodes, each a process of its own, against stand-in engines, proxies, agents of
+// discovery and clients on loopback, while troubles that a seed draws overlap in time. It judges by what engines and clients
+// saw, by the nodes' own monitors, and by whether all nodes serve again once the troubles are over.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sandcourse/audit"
+	"sandcourse/standin/platformengine"
+)
+
+// Config is one run.
+type Config struct {
+	Edge    string        // the node's binary
+	Seed    uint64        // draws all troubles
+	Nodes   int           // processes
+	Engines int           // of each role
+	Clients int           // that ask at the same time
+	Length  time.Duration // of the troubles
+	Folder  string        // for configurations and logs; made anew, and removed where nothing was found
+}
+
+// Report is what came of a run.
+type Report struct {
+	Seed     uint64
+	Faults   []string       // rules broken, crashes, nodes that do not serve again
+	Stories  []string       // of the requests concerned
+	Answers  map[string]int // by status, and of the other clients by kind
+	Troubles []string       // what was played, with its time
+	Calls    int
+	// Unanswered are the calls without an answer at nodes that were ending or killed, which are no fault by themselves.
+	Unanswered int
+	Folder     string // of the logs, where something was found
+}
+
+// groups is how many groups of nodes there are, each with an agent of discovery and ways to engines of its own.
+const groups = 3
+
+// run is the state of one run.
+type run struct {
+	config    Config
+	folder    string
+	log       *audit.Log
+	fleet     *platformengine.Fleet
+	discovery *discovery
+	nodes     []*node
+	random    *rand.Rand
+	begun     time.Time
+
+	mu         sync.Mutex
+	engines    []*listedEngine
+	faults     []string
+	troubles   []string
+	answers    map[string]int
+	lastEngine int
+	unanswered atomic.Int64
+	others     sync.WaitGroup
+}
+
+// listedEngine is a stand-in with its ways from each group of nodes.
+type listedEngine struct {
+	*platformengine.Engine
+	proxies []*Proxy
+	listed  *instance
+}
+
+func (r *run) fault(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fmt.Sprintf("%6.2fs ", time.Since(r.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.troubles = append(r.troubles, fmt.Sprintf("%6.2fs ", time.Since(r.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (r *run) count(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[what]++
+}
+
+// addEngine starts an engine and lists it.
+func (r *run) addEngine(role platformengine.Role) (*listedEngine, error) {
+	r.mu.Lock()
+	r.lastEngine++
+	id := fmt.Sprintf("s-%d", r.lastEngine)
+	r.mu.Unlock()
+	config := platformengine.Config{ID: id, Role: role, Slots: 16, WorkTime: 10 * time.Millisecond, Events: 5}
+	e, err := r.fleet.Start(config)
+	if err != nil {
+		return nil, err
+	}
+	l := &listedEngine{Engine: e, listed: &instance{id: id, kind: string(role), state: serving}}
+	for range groups {
+		p, err := NewProxy(e.Addr, func(address string) { r.fleet.NodeClosed(id, address) })
+		if err != nil {
+			return nil, err
+		}
+		l.proxies = append(l.proxies, p)
+		l.listed.hosts = append(l.listed.hosts, p.Addr())
+	}
+	r.mu.Lock()
+	r.engines = append(r.engines, l)
+	r.mu.Unlock()
+	r.discovery.put(l.listed)
+	return l, nil
+}
+
+// change lists an engine in another state.
+func (r *run) change(l *listedEngine, state string) {
+	changed := *l.listed
+	changed.state = state
+	l.listed = &changed
+	r.discovery.put(&changed)
+}
+
+func (l *listedEngine) close() {
+	l.Stop()
+	for _, p := range l.proxies {
+		p.Close()
+	}
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
+		return Report{}, err
+	}
+	folder, err := os.MkdirTemp(config.Folder, fmt.Sprintf("seed-%d-", config.Seed))
+	if err != nil {
+		return Report{}, err
+	}
+	r := &run{config: config, folder: folder, log: &audit.Log{}, random: rand.New(rand.NewPCG(config.Seed, 1)), begun: time.Now(),
+		answers: map[string]int{}}
+	r.fleet = platformengine.NewFleet(r.log)
+	if err := r.begin(); err != nil {
+		r.end()
+		return Report{}, err
+	}
+	r.play(ctx)
+	r.settle()
+	r.end()
+	return r.report(), nil
+}
+
+func (r *run) begin() (err error) {
+	if r.discovery, err = newDiscovery(groups); err != nil {
+		return err
+	}
+	for range r.config.Engines {
+		for _, role := range []platformengine.Role{platformengine.Prefill, platformengine.Decode} {
+			if _, err := r.addEngine(role); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range r.config.Nodes {
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, &node{number: i, group: i % groups, addr: addr, config: fmt.Sprintf("%s/n%d.json", r.folder, i), run: r})
+	}
+	for _, n := range r.nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	for _, n := range r.nodes {
+		if err := n.awaitReady(readyTime); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readyTime is within what a node has to be ready.
+const readyTime = 10 * time.Second
+
+// play runs clients and troubles side by side.
+func (r *run) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.config.Length)
+	defer cancel()
+	end := time.Now().Add(r.config.Length)
+	var all sync.WaitGroup
+	for i := range r.config.Clients {
+		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(100+i))), conns: map[*node]*clientConn{}}
+		all.Go(func() { c.work(end) })
+	}
+	for i := range sideBySide {
+		random := rand.New(rand.NewPCG(r.config.Seed, uint64(10+i)))
+		all.Go(func() { r.trouble(ctx, random) })
+	}
+	all.Wait()
+	r.others.Wait()
+}
+
+// settle waits until all troubles are over, and looks whether every node serves.
+func (r *run) settle() {
+	for _, n := range r.nodes {
+		if err := n.awaitReady(readyTime); err != nil {
+			r.fault("at the end: %v", err)
+		}
+	}
+	for end := time.Now().Add(settleTime); r.fleet.Held() > 0 && time.Now().Before(end); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	var all sync.WaitGroup
+	for i, n := range r.nodes {
+		c := &client{run: r, number: 1000 + i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(1000+i))), conns: map[*node]*clientConn{}}
+		all.Go(func() {
+			defer c.closeAll()
+			if !c.servedWithin(n, settleTime) {
+				r.fault("at the end: %s serves nothing in %v", n.name(), settleTime)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// settleTime is how long after the troubles all has to be well again.
+const settleTime = 8 * time.Second
+
+// servedWithin asks a node until it serves.
+func (c *client) servedWithin(n *node, most time.Duration) bool {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		conn, err := c.connect(n)
+		if err != nil {
+			continue
+		}
+		r := c.request(n)
+		r.wait = longestDeadline
+		conn.conn.SetDeadline(time.Now().Add(longestDeadline + time.Second))
+		call := audit.Call{Request: r.name, Inference: r.name, Route: r.class, Edge: n.name(), Sent: time.Now()}
+		call.GiveUp = call.Sent.Add(r.wait)
+		if _, err = conn.conn.Write([]byte(r.text())); err == nil {
+			err = c.answer(conn, &call)
+		}
+		if err != nil {
+			c.drop(n)
+		}
+		if call.Final == "completed" {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *run) end() {
+	for _, n := range r.nodes {
+		if n.process != nil {
+			n.stop(true, nil)
+		}
+	}
+	for _, e := range r.engines {
+		e.close()
+	}
+	if r.discovery != nil {
+		for _, a := range r.discovery.agents {
+			a.server.Close()
+		}
+	}
+}
+
+// Slack is what the protocol and a machine that runs dozens of processes add to the times of the rules.
+const (
+	slack  = 700 * time.Millisecond
+	notice = 300 * time.Millisecond
+)
+
+func (r *run) report() Report {
+	out := Report{Seed: r.config.Seed, Faults: r.faults, Answers: r.answers, Troubles: r.troubles, Calls: len(r.log.Calls()),
+		Unanswered: int(r.unanswered.Load()), Folder: r.folder}
+	rules := audit.Rules{NonRetriable: map[string]bool{"alert": true}, DrainGrace: 250 * time.Millisecond, Notice: notice,
+		Pin: time.Second, Slack: slack}
+	for _, b := range r.log.Judge(rules, time.Now()) {
+		out.Faults = append(out.Faults, b.String())
+		if b.Inference != "" {
+			out.Stories = append(out.Stories, b.String()+"\n\t"+strings.Join(r.log.Story(b.Inference), "\n\t"))
+		}
+	}
+	if len(out.Faults) == 0 {
+		os.RemoveAll(r.folder)
+		out.Folder = ""
+	}
+	return out
+}
+
+// String is the report as text.
+func (r Report) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %d calls, %d troubles, %d faults, %d calls without an answer at nodes that ended;", r.Seed, r.Calls,
+		len(r.Troubles), len(r.Faults), r.Unanswered)
+	for _, what := range slices.Sorted(maps.Keys(r.Answers)) {
+		fmt.Fprintf(&b, " %s: %d", what, r.Answers[what])
+	}
+	b.WriteString("\n")
+	for _, f := range r.Faults {
+		fmt.Fprintf(&b, "  FAULT %s\n", f)
+	}
+	for _, s := range r.Stories {
+		fmt.Fprintf(&b, "  %s\n", s)
+	}
+	if len(r.Faults) > 0 {
+		for _, t := range r.Troubles {
+			fmt.Fprintf(&b, "  trouble %s\n", t)
+		}
+		fmt.Fprintf(&b, "  logs in %s\n", r.Folder)
+	}
+	return b.String()
+}
--- a/standin/platformengine/engine.go
+++ b/standin/platformengine/engine.go
@@ -29,7 +29,11 @@
 )
 
 // attempt is one attempt of a request that has reached an engine whole.
-type attempt struct{ waits bool } // for a state
+type attempt struct {
+	waits bool   // for a state
+	from  string // the address of the other side of its connection
+	over  bool   // it is not out any more
+}
 
 // state is a read state that an engine holds.
 type state struct{ engine string }
@@ -139,7 +143,7 @@
 		return // its last byte has not arrived
 	}
 	name := r.Header.Get(platform.HeaderName)
-	a := &attempt{waits: e.Role == Decode}
+	a := &attempt{waits: e.Role == Decode, from: r.RemoteAddr}
 	e.fleet.begin(e, name, a)
 	defer e.fleet.end(e, name, a)
 	if e.Role == Prefill {
@@ -162,7 +166,29 @@
 	defer f.mu.Unlock()
 	record := f.find(name)
 	record.attempts = slices.DeleteFunc(record.attempts, func(other *attempt) bool { return other == a })
-	f.see(e, audit.Ended, name)
+	f.over(e.ID, name, a)
+}
+
+// over notes, once, that an attempt is not out any more. The caller holds the lock.
+func (f *Fleet) over(engine, name string, a *attempt) {
+	if !a.over {
+		a.over = true
+		f.log.See(audit.Seen{At: time.Now(), Engine: engine, What: audit.Ended, Inference: name, Request: name})
+	}
+}
+
+// NodeClosed notes that a node has closed a connection that its engine may not have seen the end of yet: what was asked on
+// it is not out any more. Address is the connection's other side as the engine knows it.
+func (f *Fleet) NodeClosed(engine, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, record := range f.requests {
+		for _, a := range record.attempts {
+			if a.from == address {
+				f.over(engine, name, a)
+			}
+		}
+	}
 }
 
 // read reads a prompt to its end, whether or not its node still waits, and holds the state then.
@@ -213,6 +239,9 @@
 	record := f.find(name)
 	a.waits = false
 	taken := len(record.states) > 0
+	if taken {
+		f.see(e, audit.Ran, name)
+	}
 	f.drop(record, name, "taken")
 	return taken
 }
