--- a/soak/node.go
+++ b/soak/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -144,25 +145,45 @@
 	}
 }
 
-// limitDescriptors leaves the process a few descriptors more than it has, for a time.
-func (n *node) limitDescriptors(more uint64, length time.Duration) error {
-	n.mu.Lock()
-	pid := n.process.Process.Pid
-	n.mu.Unlock()
+// LeaveDescriptors lets a process have so many more descriptors than it has open, until restore is called.
+func LeaveDescriptors(pid, more int) (restore func() error, err error) {
 	var before unix.Rlimit
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
-		return err
+		return nil, err
 	}
-	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	if err != nil {
-		return err
+		return nil, err
+	}
+	open := map[string]bool{}
+	for _, e := range entries {
+		open[e.Name()] = true
+	}
+	// The limit is on numbers, not on how many there are: those below it that are not open can be had.
+	limit := 0
+	for free := 0; free <= more; limit++ {
+		if !open[strconv.Itoa(limit)] {
+			free++
+		}
 	}
-	few := unix.Rlimit{Cur: uint64(len(open)) + more, Max: before.Max}
+	few := unix.Rlimit{Cur: uint64(limit - 1), Max: before.Max}
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		return nil, err
+	}
+	return func() error { return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil) }, nil
+}
+
+// limitDescriptors leaves the process a few descriptors more than it has, for a time.
+func (n *node) limitDescriptors(more int, length time.Duration) error {
+	n.mu.Lock()
+	pid := n.process.Process.Pid
+	n.mu.Unlock()
+	restore, err := LeaveDescriptors(pid, more)
+	if err != nil {
 		return err
 	}
 	time.Sleep(length)
-	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil)
+	return restore()
 }
 
 // Times of a planned restart, from the platform's page: the kill comes 0.7 s after the longest deadline.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Fault is what a proxy does to the connections that go through it.
@@ -25,11 +27,10 @@
 	// onNodeClosed is told when the node's side of a connection has ended, with the address by which the target knows it.
 	onNodeClosed func(address string)
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	fault   Fault
-	links   map[*proxyLink]bool
-	closed  bool
+	mu     sync.Mutex
+	fault  Fault
+	links  map[*proxyLink]bool
+	closed bool
 }
 
 type proxyLink struct{ node, target net.Conn }
@@ -41,7 +42,6 @@
 		return nil, err
 	}
 	p := &Proxy{listener: listener, target: target, onNodeClosed: onNodeClosed, links: map[*proxyLink]bool{}}
-	p.changed = sync.NewCond(&p.mu)
 	go p.run()
 	return p, nil
 }
@@ -54,7 +54,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
-	p.changed.Broadcast()
 }
 
 // ResetAll resets all open connections on both sides.
@@ -71,7 +70,6 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	p.changed.Broadcast()
 	p.mu.Unlock()
 	p.listener.Close()
 	p.ResetAll()
@@ -98,24 +96,46 @@
 	}
 }
 
-// wait returns once bytes may pass; false where the proxy has been closed.
-func (p *Proxy) wait() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for p.fault == Silent && !p.closed {
-		p.changed.Wait()
+// lookEvery is how often a silent connection is looked at for its end.
+const lookEvery = 5 * time.Millisecond
+
+// wait returns once bytes may pass that came from one side; false where they never will, as the proxy has been closed or
+// that side has ended its connection meanwhile: what had not arrived by then is lost with it.
+func (p *Proxy) wait(from net.Conn) bool {
+	for {
+		fault, closed := p.current()
+		if closed || fault != Silent {
+			return !closed
+		}
+		if hasEnded(from) {
+			return false
+		}
+		time.Sleep(lookEvery)
 	}
-	return !p.closed
 }
 
-func (p *Proxy) current() Fault {
+func (p *Proxy) current() (fault Fault, closed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault
+	return p.fault, p.closed
+}
+
+// hasEnded is whether the other side has ended a connection, though there may be bytes to read before that.
+func hasEnded(conn net.Conn) (ended bool) {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		ask := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		ready, err := unix.Poll(ask, 0)
+		ended = err == nil && ready > 0 && ask[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended || err != nil
 }
 
 func (p *Proxy) serve(node net.Conn) {
-	if p.current() == Refuse {
+	if fault, _ := p.current(); fault == Refuse {
 		reset(node)
 		return
 	}
@@ -150,10 +170,13 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		if err != nil && fromNode && p.onNodeClosed != nil {
+		passes := p.wait(from)
+		if (err != nil || !passes) && fromNode && p.onNodeClosed != nil {
 			p.onNodeClosed(address)
 		}
-		if !p.wait() {
+		if !passes {
+			reset(to)
+			reset(from)
 			return
 		}
 		if n > 0 {
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -231,7 +231,7 @@
 	}
 	defer n.giveBack()
 	r.note("%s has few descriptors", n.name())
-	if err := n.limitDescriptors(uint64(random.IntN(4)), between(random, 100*time.Millisecond, 800*time.Millisecond)); err != nil {
+	if err := n.limitDescriptors(random.IntN(4), between(random, 100*time.Millisecond, 800*time.Millisecond)); err != nil {
 		r.fault("limit of descriptors: %v", err)
 	}
 }
--- a/standin/platformengine/engine.go
+++ b/standin/platformengine/engine.go
@@ -30,9 +30,10 @@
 
 // attempt is one attempt of a request that has reached an engine whole.
 type attempt struct {
-	waits bool   // for a state
-	from  string // the address of the other side of its connection
-	over  bool   // it is not out any more
+	waits bool // for a state
+	// engine and from are both ends of its connection: the engine's id, and the other side's address.
+	engine, from string
+	over         bool // it is not out any more
 }
 
 // state is a read state that an engine holds.
@@ -143,7 +144,7 @@
 		return // its last byte has not arrived
 	}
 	name := r.Header.Get(platform.HeaderName)
-	a := &attempt{waits: e.Role == Decode, from: r.RemoteAddr}
+	a := &attempt{waits: e.Role == Decode, engine: e.ID, from: r.RemoteAddr}
 	e.fleet.begin(e, name, a)
 	defer e.fleet.end(e, name, a)
 	if e.Role == Prefill {
@@ -184,7 +185,7 @@
 	defer f.mu.Unlock()
 	for name, record := range f.requests {
 		for _, a := range record.attempts {
-			if a.from == address {
+			if a.engine == engine && a.from == address {
 				f.over(engine, name, a)
 			}
 		}
