An accepted connection waits for a descriptor instead of being reset

Cause: the socket library duplicates an accepted descriptor and closes the connection where it cannot (NBConn under acceptorLoop). Change: boundedListener hands over itself, and tries again while the want is this machine's.

--- a/edge/accept.go
+++ b/edge/accept.go
@@ -5,6 +5,10 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/lesismal/nbio"
+
+	"sandcourse/netfault"
 )
 
 // acceptPause is how long the listener rests after a connection could not be accepted, as when descriptors have
@@ -83,6 +87,24 @@
 		<-l.room.closed
 	case err != nil:
 		time.Sleep(acceptPause)
+	default:
+		return l.handOver(conn)
 	}
 	return conn, err
 }
+
+// handOver makes an accepted connection one of the socket library's, which takes a descriptor more for a moment. Where
+// there is none the client waits: the library would reset its connection, and what it has sent would be lost.
+func (l boundedListener) handOver(conn net.Conn) (net.Conn, error) {
+	for {
+		handed, err := nbio.NBConn(conn)
+		if err == nil {
+			return handed, nil
+		}
+		if !netfault.Local(err) || l.room.isClosed() {
+			conn.Close()
+			return nil, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
