--- a/soak/client.go
+++ b/soak/client.go
@@ -193,13 +193,23 @@
 		call.Final = "left"
 	case n.wasAway(call.Sent, call.End):
 		call.Final = "left" // a new connection may be closed unread then; an ending node's are judged by engines' records
-		c.run.unanswered.Add(1)
+		c.run.noteUnanswered(n, *call)
 	default:
 		call.Final, call.Why = "lost", fmt.Sprint(err)
 	}
 	c.run.log.Hear(*call)
 }
 
+// noteUnanswered keeps a call without an answer for the judge, unless its node was killed.
+func (r *run) noteUnanswered(n *node, call audit.Call) {
+	if n.wasKilled(call.Sent, call.End) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unanswered = append(r.unanswered, call)
+}
+
 // half sends a part of a request and stays: an error or a close is owed to it.
 func (c *client) half(n *node) {
 	conn, err := net.DialTimeout("tcp", n.addr, time.Second)
--- a/soak/node.go
+++ b/soak/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +41,16 @@
 }
 
 // span is a time; to is zero while it lasts.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	killed   bool
+}
+
+// The spans of the settings that engines and the judge keep to as well.
+const (
+	connIdle    = 5 * time.Second
+	dedupWindow = time.Second
+)
 
 func (n *node) name() string { return fmt.Sprintf("n%d", n.number) }
 
@@ -208,6 +218,9 @@
 		case <-time.After(killAfter):
 		}
 	}
+	n.mu.Lock()
+	n.away[len(n.away)-1].killed = true
+	n.mu.Unlock()
 	process.Process.Signal(syscall.SIGKILL)
 	<-exited
 }
@@ -223,14 +236,20 @@
 
 // wasAway is whether the node was ending or not there at any moment of a time.
 func (n *node) wasAway(from, to time.Time) bool {
+	return n.was(from, to, func(span) bool { return true })
+}
+
+// wasKilled is whether it was away then because it was killed.
+func (n *node) wasKilled(from, to time.Time) bool {
+	return n.was(from, to, func(s span) bool { return s.killed })
+}
+
+func (n *node) was(from, to time.Time, fits func(span) bool) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, s := range n.away {
-		if s.from.Before(to) && (s.to.IsZero() || from.Before(s.to)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(n.away, func(s span) bool {
+		return s.from.Before(to) && (s.to.IsZero() || from.Before(s.to)) && fits(s)
+	})
 }
 
 // awaitReady waits until the node says that it is ready.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"sandcourse/audit"
@@ -63,7 +62,7 @@
 	troubles   []string
 	answers    map[string]int
 	lastEngine int
-	unanswered atomic.Int64
+	unanswered []audit.Call // at nodes that were ending and were not killed
 	others     sync.WaitGroup
 }
 
@@ -98,7 +97,7 @@
 	r.lastEngine++
 	id := fmt.Sprintf("s-%d", r.lastEngine)
 	r.mu.Unlock()
-	config := platformengine.Config{ID: id, Role: role, Slots: 16, WorkTime: 10 * time.Millisecond, Events: 5}
+	config := platformengine.Config{ID: id, Role: role, Slots: 16, WorkTime: 10 * time.Millisecond, Events: 5, IdleTime: r.idleTime()}
 	e, err := r.fleet.Start(config)
 	if err != nil {
 		return nil, err
@@ -119,6 +118,13 @@
 	return l, nil
 }
 
+// idleTime is after what an engine closes idle connections: any time up to the settings' own.
+func (r *run) idleTime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return between(r.random, 500*time.Millisecond, connIdle)
+}
+
 // change lists an engine in another state.
 func (r *run) change(l *listedEngine, state string) {
 	changed := *l.listed
@@ -283,7 +289,9 @@
 
 func (r *run) report() Report {
 	out := Report{Seed: r.config.Seed, Faults: r.faults, Answers: r.answers, Troubles: r.troubles, Calls: len(r.log.Calls()),
-		Unanswered: int(r.unanswered.Load()), Folder: r.folder}
+		Unanswered: len(r.unanswered), Folder: r.folder}
+	out.Faults = append(out.Faults, r.judgeUnanswered()...)
+	out.Faults = append(out.Faults, r.judgeWindows()...)
 	rules := audit.Rules{NonRetriable: map[string]bool{"alert": true}, DrainGrace: 250 * time.Millisecond, Notice: notice,
 		Pin: time.Second, Slack: slack}
 	for _, b := range r.log.Judge(rules, time.Now()) {
@@ -299,6 +307,42 @@
 	return out
 }
 
+// judgeUnanswered looks for calls that a node sent on before it ended, and never answered.
+func (r *run) judgeUnanswered() (faults []string) {
+	began := map[string]bool{}
+	for _, s := range r.log.Seen() {
+		if s.What == audit.Began {
+			began[s.Inference] = true
+		}
+	}
+	for _, c := range r.unanswered {
+		if began[c.Inference] {
+			faults = append(faults, fmt.Sprintf("rule 1: %s was sent on by %s, which was told to end, and has no answer", c.Inference, c.Edge))
+		}
+	}
+	return faults
+}
+
+// judgeWindows looks for deduplicated requests that ran again when engines had forgotten the first run.
+func (r *run) judgeWindows() (faults []string) {
+	class := map[string]string{}
+	for _, c := range r.log.Calls() {
+		class[c.Inference] = c.Route
+	}
+	first := map[string]time.Time{}
+	for _, s := range r.log.Seen() {
+		if s.What != audit.Ran || class[s.Inference] != "label" {
+			continue
+		}
+		if at, ran := first[s.Inference]; ran && s.At.Sub(at) > dedupWindow {
+			faults = append(faults, fmt.Sprintf("rule 2: %s ran again after %v, engines remember for %v", s.Inference, s.At.Sub(at), dedupWindow))
+		} else if !ran {
+			first[s.Inference] = s.At
+		}
+	}
+	return faults
+}
+
 // String is the report as text.
 func (r Report) String() string {
 	var b strings.Builder
--- a/standin/platformengine/engine.go
+++ b/standin/platformengine/engine.go
@@ -68,6 +68,7 @@
 	Slots    int           // attempts that it works on at once; others wait in its queue
 	WorkTime time.Duration // of a read, and of each event of an answer
 	Events   int           // of an answer
+	IdleTime time.Duration // after which it closes a connection on which nothing is asked; 0 for never
 }
 
 // Engine is one stand-in.
@@ -90,7 +91,7 @@
 	mux.HandleFunc("POST "+platform.CallPath, e.serveAttempt)
 	mux.HandleFunc("DELETE "+platform.HoldsPath+"{request}", e.serveRelease)
 	mux.HandleFunc("GET "+platform.LoadPath, e.serveLoad)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: c.IdleTime}
 	go e.server.Serve(listener)
 	f.see(e, audit.Up, "")
 	return e, nil
