--- a/edge/faults_test.go
+++ b/edge/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -14,6 +15,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"sandcourse/settings"
 )
 
 // A client asks for one stream and sends, behind it, the head of a request that expects to be told to go on. That word
@@ -130,3 +133,29 @@
 		t.Error("no attempt met the want of descriptors")
 	}
 }
+
+// The end of one request and the beginning of the next come in one piece, and the client stops there: the half request is
+// owed an error as any other.
+func TestHalfRequestInOnePieceWithTheEndOfAnother(t *testing.T) {
+	reader := newBox(t, "127.0.0.2", always(heldWire))
+	writer := newBox(t, "127.0.0.3", always(wholeStream))
+	n := onPlatform(t, 1024, func(d *settings.Deployment) {
+		d.Limits.FirstTime, d.Limits.HeadTime, d.Limits.BodyTime = 200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond
+	}, reader, writer)
+	defer n.Stop()
+	client := dial(t, n)
+	first := wire("a", "chat")
+	client.send(first[:20])
+	until(t, "the owner hears of the first half", func() bool {
+		h, err := n.Look(context.Background())
+		return err == nil && h.Clients == 1 && h.Bytes > 0
+	})
+	client.send(first[20:] + wire("b", "chat")[:20])
+	if status, _ := client.answer(); status != 200 {
+		t.Fatal(status)
+	}
+	client.conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if status, _ := client.answer(); status != http.StatusRequestTimeout {
+		t.Errorf("the half request is answered %d", status)
+	}
+}
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -168,6 +168,13 @@
 	return c, out
 }
 
+// probe asks an engine for its load.
+func (b *bench) probe(engine string) {
+	b.core.Begin(b.now)
+	b.core.Probe(engine)
+	b.core.Turn(b.now)
+}
+
 // connect lets the oldest line that is dialled come up.
 func (b *bench) connect() *socket {
 	b.t.Helper()
--- a/node/partial_test.go
+++ b/node/partial_test.go
@@ -1,11 +1,13 @@
 package node_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
 	"time"
 
+	"sandcourse/brain"
 	"sandcourse/limits"
 	"sandcourse/node"
 	"sandcourse/roster"
@@ -155,3 +157,22 @@
 		}
 	}
 }
+
+// A probe for which this machine had no descriptor says nothing of the engine: it counts neither as silent nor as failed.
+func TestProbeThatFailsHere(t *testing.T) {
+	b := newBench(t)
+	b.probe("r")
+	line := b.dials[0]
+	b.dials = b.dials[1:]
+	b.core.Begin(b.now)
+	b.core.LineDialled(line, nil, fmt.Errorf("%w: no descriptor", node.ErrLocal))
+	b.core.Turn(b.now)
+	for _, in := range b.heard {
+		if p, ok := in.(brain.ProbeResult); ok && p.Verdict != brain.NotSent {
+			t.Errorf("the module is told verdict %d of an engine that was never asked", p.Verdict)
+		}
+	}
+	if _, out := b.ask("a1", "alert"); len(answers(t, out)) > 0 || len(b.dials) != 1 {
+		t.Errorf("%d connections are dialled for the next request, answers %v", len(b.dials), answers(t, out))
+	}
+}
