--- a/brain/brain.go
+++ b/brain/brain.go
@@ -521,9 +521,11 @@
 		return
 	}
 	e.heardAt = b.now
-	if p.Verdict == Completed {
+	switch p.Verdict {
+	case Completed:
 		b.learnReport(e, p.Report)
-	} else {
+	case NotSent: // for a want of this machine: it says nothing of the engine
+	default:
 		e.silentAt = b.now
 	}
 	for _, inf := range b.those(func(inf *inference) bool { return inf.answered(p.Engine) }) {
--- a/edge/front.go
+++ b/edge/front.go
@@ -28,6 +28,7 @@
 	cutter  *framing.Cutter
 	request *http.Request // whose body is being read
 	body    []byte
+	begun   bool // the owner has been told of the request that is being read
 	pending int  // messages handed to the owner that it has not taken yet
 	closed  bool // the owner has decided to close; nothing is read any more
 
@@ -226,7 +227,6 @@
 		return nil
 	}
 	n := c.node
-	fresh := c.cutter.Between()
 	pieces, err := c.cutter.Feed(data)
 	heads := 0
 	for _, p := range pieces {
@@ -241,7 +241,7 @@
 			c.body = append(c.body, p.Data...)
 		case framing.End:
 			a := n.readCall(c.request, c.body)
-			c.request, c.body, heads = nil, nil, 0
+			c.request, c.body, c.begun, heads = nil, nil, false, 0
 			events = append(events, c.message(a.Bytes, func() { n.core.Ask(c.core, a) }))
 		}
 	}
@@ -256,7 +256,8 @@
 	if heads > 0 || c.request != nil {
 		input = limits.HeadWhole
 	}
-	if fresh || heads > 0 || c.request != nil {
+	if !c.begun || heads > 0 || c.request != nil {
+		c.begun = true
 		events = append(events, event{1, func() { n.core.Reading(c.core, input, held) }})
 	}
 	return events
--- a/node/control.go
+++ b/node/control.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// controlUnsent ends a control request for which this machine could make no connection.
+func (o *Core) controlUnsent(e *controlRequest) {
+	if !o.controls[e] {
+		return
+	}
+	delete(o.controls, e)
+	if e.hold == nil { // a release is sent again by its hold
+		o.tell(brain.ProbeResult{Engine: e.engine, Verdict: brain.NotSent, Lag: o.now - e.at})
+	}
+}
+
 func (o *Core) controlDone(e *controlRequest, head *http.Response, body []byte) {
 	if !o.controls[e] {
 		return
--- a/node/lines.go
+++ b/node/lines.go
@@ -85,6 +85,10 @@
 		return
 	}
 	o.watch.Connection(l.Engine, DialFailedHere)
+	if e := l.control; e != nil {
+		l.control = nil
+		o.controlUnsent(e)
+	}
 	o.dropLoad(l, attempt.Barred)
 }
 
