--- a/node/clients.go
+++ b/node/clients.go
@@ -238,6 +238,8 @@
 	}
 	c.serving, c.current = false, nil
 	if !keep || c.closing {
+		// Its client has said that this was the last one, or nothing behind it can be read: what follows is owed no answer.
+		c.waiting = nil
 		o.part(c)
 		return
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -56,6 +56,7 @@
 	holds    *hold.Table
 	monitor  *guard.Monitor
 	infs     map[int64]*inference
+	byName   map[string]*inference // the same, by what engines know them by
 	nextInf  int64
 	took     uint64 // rows of attempt's table taken so far, a bit each, from bit 1
 	// answeredNow are those that got their final answer while the present input is carried out.
@@ -101,7 +102,7 @@
 			Dials: d.Lines.Dials, All: d.Lines.All, IdleNs: int64(d.Lines.Idle), SettleNs: int64(d.Lines.Settle)}),
 		clients: map[int64]*Client{}, closing: map[int64]int64{}, lines: map[int64]*Line{},
 		controls: map[*controlRequest]bool{}, holds: hold.New(hold.BoundsFor(d.Rules.Pin, protocol.ReleasesAnywhere(),
-			holdsAnOpenCall*d.Limits.Open)), monitor: guard.NewMonitor(guard.LimitsFor(d.Rules.DrainGrace, d.Rules.Pin)), infs: map[int64]*inference{}, answeredAt: map[string]int64{}}
+			holdsAnOpenCall*d.Limits.Open)), monitor: guard.NewMonitor(guard.LimitsFor(d.Rules.DrainGrace, d.Rules.Pin)), infs: map[int64]*inference{}, byName: map[string]*inference{}, answeredAt: map[string]int64{}}
 	o.brain = brain.New(seed, d.Facts())
 	return o
 }
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -29,8 +29,8 @@
 	lines []*socket
 	heard []brain.Input
 
-	fails, mayFail bool // the module, at its next input; and whether that is wanted
-	unacknowledged bool // no engine acknowledges a release in this test, so that states are held for too long
+	fails, mayFail bool       // the module, at its next input; and whether that is wanted
+	expected       guard.Rule // the one that this test's world breaks, as where no engine acknowledges a release
 }
 
 func (b *bench) Dial(l *node.Line) { b.dials = append(b.dials, l) }
@@ -65,7 +65,7 @@
 
 // Violated is a fault in any test.
 func (b *bench) Violated(v guard.Violation) {
-	if v.Rule != guard.HeldTooLong || !b.unacknowledged {
+	if v.Rule != b.expected {
 		b.t.Errorf("rule broken: %+v", v)
 	}
 }
@@ -128,7 +128,7 @@
 // newUnacknowledgedBench is one where no engine acknowledges a release.
 func newUnacknowledgedBench(t *testing.T) *bench {
 	b := newBench(t)
-	b.unacknowledged = true
+	b.expected = guard.HeldTooLong
 	return b
 }
 
@@ -593,7 +593,7 @@
 		"a reset": func(b *bench, s *socket) { b.core.LineBroken(s.line) },
 	} {
 		b, c, _ := writeOut(t, "chat")
-		b.unacknowledged = true
+		b.expected = guard.HeldTooLong
 		b.list("r", "w", "w2")
 		b.core.Begin(b.now)
 		b.core.ClientGone(c)
--- a/node/inference.go
+++ b/node/inference.go
@@ -56,7 +56,7 @@
 			"calls are taken over HTTP/1.1"))
 		return
 	}
-	switch why := guard.MayStart(guard.Arrival{NameKnown: o.names.known(a.Call.Name), Taking: o.taking()}); why {
+	switch why := guard.MayStart(guard.Arrival{NameKnown: o.known(a.Call.Name), Taking: o.taking()}); why {
 	case guard.Allowed:
 		if a.Call.Name != "" {
 			o.names.take(a.Call.Name)
@@ -96,7 +96,7 @@
 	inf.giveUpAt = o.arrivedAt() + int64(patience)
 	inf.whole = o.protocol.Collect(a.Call)
 	c.current = inf
-	o.infs[inf.id] = inf
+	o.infs[inf.id], o.byName[inf.name] = inf, inf
 	o.monitor.Taken(inf.id, inf.name, inf.effect(d), int64(d.Routes[route].DedupWindow), inf.giveUpAt)
 	session := a.Call.Session
 	if session == "" {
@@ -108,6 +108,9 @@
 	o.forget(inf)
 }
 
+// known is whether a request has this name already: an open one, or one of the last few thousand.
+func (o *Core) known(name string) bool { return o.byName[name] != nil || o.names.known(name) }
+
 // effect is what a second run of an inference would do.
 func (inf *inference) effect(d *settings.Deployment) guard.Effect {
 	return guard.EffectOf(d.Routes[inf.route].Effect)
@@ -223,6 +226,7 @@
 		}
 	}
 	delete(o.infs, inf.id)
+	delete(o.byName, inf.name)
 	o.monitor.Forget(inf.id)
 }
 
--- a/node/module.go
+++ b/node/module.go
@@ -72,6 +72,7 @@
 		}
 		o.letGo(inf)
 		delete(o.infs, id)
+		delete(o.byName, inf.name)
 		o.monitor.Forget(id)
 	}
 }
--- a/node/monitor.go
+++ b/node/monitor.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"sandcourse/attempt"
@@ -33,15 +34,8 @@
 
 // mayBeTaken is whether an attempt of a request is out that may take its state.
 func (o *Core) mayBeTaken(request string) bool {
-	for _, inf := range o.infs {
-		if inf.name != request {
-			continue
-		}
-		for _, s := range inf.sends {
-			if s.writes && !s.ended && s.machine.State != attempt.Dialling {
-				return true
-			}
-		}
-	}
-	return false
+	inf := o.byName[request]
+	return inf != nil && slices.ContainsFunc(inf.sends, func(s *send) bool {
+		return s.writes && !s.ended && s.machine.State != attempt.Dialling
+	})
 }
--- a/node/partial_test.go
+++ b/node/partial_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sandcourse/brain"
+	"sandcourse/guard"
 	"sandcourse/limits"
 	"sandcourse/node"
 	"sandcourse/roster"
@@ -176,3 +177,45 @@
 		t.Errorf("%d connections are dialled for the next request, answers %v", len(b.dials), answers(t, out))
 	}
 }
+
+// A process that was not run for longer than a client waits answers at once, and sends nothing on.
+func TestRequestThatWaitedLongerThanItsClient(t *testing.T) {
+	b := newBench(t)
+	b.expected = guard.AnswerLate // by the process that was not run
+	looked := b.now
+	b.now += int64(4 * time.Second)
+	b.core.Begin(b.now)
+	b.core.EventsSince(looked)
+	_, out := b.ask("a1", "alert")
+	b.pass(100 * time.Millisecond)
+	for len(b.dials) > 0 {
+		b.connect()
+	}
+	if row := answers(t, out); len(row) != 1 || b.posts() != 0 {
+		t.Errorf("answers %v, %d attempts, for a request whose time was over when it was read", row, b.posts())
+	}
+}
+
+// Engines know a request by its name for as long as an attempt of it is out, however many names come meanwhile.
+func TestNameOfAnOpenRequestInAFloodOfNames(t *testing.T) {
+	b := newBench(t)
+	b.ask("a1", "alert")
+	b.connect()
+	b.core.TakeNames(13_000)
+	_, out := b.ask("a1", "alert")
+	if row := answers(t, out); !slices.Contains(row, http.StatusConflict) {
+		t.Errorf("answers %v: the name of an open request is taken a second time", row)
+	}
+}
+
+// Who says that a request is the last on its connection is owed no answer to what comes behind it.
+func TestRequestsBehindTheLastOne(t *testing.T) {
+	b := newBench(t)
+	c, out := b.ask("a1", "chat", "Connection: close\r\n")
+	b.asked(c, "a2", "chat")
+	b.untilAnswered(out)
+	b.pass(2 * time.Second)
+	if row := answers(t, out); len(row) != 1 || !out.shut {
+		t.Errorf("answers %v, closed %v", row, out.shut)
+	}
+}
--- a/prove/properties.go
+++ b/prove/properties.go
@@ -14,7 +14,7 @@
 	{"P2", "at most one send of an inference is out"},
 	{"P3", "no send follows a send that may have run, if the route is non-retriable; nothing that may have run is shed"},
 	{"P4", "the final answer, or the first token of a stream, comes before the client gives up"},
-	{"P5", "no state is held longer than the pin limit with no send of its inference out, unless two tries to let go were lost; the module lets go before the node's last resort"},
+	{"P5", "no state is held longer than the pin limit with no send of its inference out, unless two tries to let go were lost; the module lets go before the node's last resort, but where an attempt was cut"},
 	{"P6", "no send follows the final answer, and none stays out after its client left"},
 	{"P7", "nothing is written to an engine later than the grace after the news of its drain"},
 	{"P8", "a connection carries one thing at a time, and nothing after an unread rest"},
