--- a/cmd/sandcourse/soak.go
+++ b/cmd/sandcourse/soak.go
@@ -1,11 +1,12 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -18,11 +19,13 @@
 	seeds := 1
 	c := &cobra.Command{Use: "soak", Short: "Real nodes against troubles that overlap, judged by the rules", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop() // the nodes' processes are ended whatever happens
 			faults := 0
-			for i := range seeds {
+			for i := 0; i < seeds && ctx.Err() == nil; i++ {
 				one := config
 				one.Seed += uint64(i)
-				report, err := soak.Run(context.Background(), one)
+				report, err := soak.Run(ctx, one)
 				if err != nil {
 					return err
 				}
@@ -45,6 +48,7 @@
 	f.IntVar(&config.Nodes, "nodes", 24, "how many nodes, each a process")
 	f.IntVar(&config.Engines, "engines", 6, "how many stand-in engines of each role")
 	f.IntVar(&config.Clients, "clients", 60, "how many clients ask at the same time")
+	f.IntVar(&config.Overlap, "overlap", 3, "how many troubles run at the same time")
 	f.DurationVar(&config.Length, "for", 20*time.Second, "how long the troubles last")
 	f.StringVar(&config.Folder, "folder", filepath.Join(os.TempDir(), "sandcourse-soak"), "for configurations and logs")
 	return c
--- a/soak/node.go
+++ b/soak/node.go
@@ -28,7 +28,9 @@
 	group  int
 	addr   string
 	config string
-	run    *run
+	// peerAddr is where it hears others, by UDP.
+	peerAddr string
+	run      *run
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -56,18 +58,22 @@
 
 // configText is a configuration in the platform's form.
 const configText = `{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"memory_mb":128,"sockets":512},"known":%s,
- "settings":{"areas":["a"],"zone":0,"index":%d,"peers_total":%d,"tick_us":4000,"flavors":["read","write"],"ceilings":{
- "try_limit":5,"cancel":true,"probes":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000,
+ "peer_listen":%q,"peers":[%s],"settings":{"areas":["a"],"zone":0,"index":%d,"peers_total":%d,"tick_us":4000,"flavors":["read","write"],"ceilings":{
+ "try_limit":5,"cancel":true,"probes":true,"peers":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000,
  "conn_idle_us":5000000},"report":{"how":"inline","fields":["x0","x1"]},"family_info":{"stage_of_kind":["read","write"],
- "pin_limit_us":1000000,"kind_memory_tokens":[1000000,1000000]},"classes":[
+ "pin_limit_us":1000000,"resume":%v,"kind_memory_tokens":[1000000,1000000]},"classes":[
  {"name":"chat","effect":"retryable","worth":1,"objective_us":900000},
  {"name":"label","effect":"dedup","dedup_scope":"all","memory_span_us":1000000,"worth":1,"objective_us":900000},
  {"name":"alert","effect":"fragile","worth":5,"objective_us":900000}],"obligations":{"drain_grace_us":250000}}}`
 
 // configure writes the configuration as it is now. Half leaves off its end, as an editor does for a moment.
 func (n *node) configure(half bool) error {
+	var peers []string
+	for _, other := range n.run.nodes {
+		peers = append(peers, strconv.Quote(other.peerAddr))
+	}
 	text := fmt.Sprintf(configText, n.number, n.addr, n.run.discovery.agentAddr(n.group), n.life+1, n.run.discovery.whole(n.group),
-		n.number, len(n.run.nodes))
+		n.peerAddr, strings.Join(peers, ","), n.number, len(n.run.nodes), n.run.resumes())
 	if half {
 		text = text[:len(text)/2]
 	}
@@ -161,14 +167,10 @@
 	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &before); err != nil {
 		return nil, err
 	}
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	open, err := openDescriptors(pid)
 	if err != nil {
 		return nil, err
 	}
-	open := map[string]bool{}
-	for _, e := range entries {
-		open[e.Name()] = true
-	}
 	// The limit is on numbers, not on how many there are: those below it that are not open can be had.
 	limit := 0
 	for free := 0; free <= more; limit++ {
@@ -183,6 +185,27 @@
 	return func() error { return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &before, nil) }, nil
 }
 
+// openDescriptors are the numbers of a process's descriptors, as text.
+func openDescriptors(pid int) (map[string]bool, error) {
+	folder, err := os.Open(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		return nil, err
+	}
+	defer folder.Close()
+	names, err := folder.Readdirnames(-1)
+	if err != nil {
+		return nil, err
+	}
+	open := map[string]bool{}
+	for _, name := range names {
+		open[name] = true
+	}
+	if pid == os.Getpid() { // the one that this look took
+		delete(open, strconv.Itoa(int(folder.Fd())))
+	}
+	return open, nil
+}
+
 // limitDescriptors leaves the process a few descriptors more than it has, for a time.
 func (n *node) limitDescriptors(more int, length time.Duration) error {
 	n.mu.Lock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -18,8 +18,17 @@
 	Pass   Fault = iota
 	Silent       // nothing passes, no connection ends, new ones come up and stay silent
 	Refuse       // new connections are reset at once, open ones pass
+	Cut          // an answer is cut in its middle, and its connection reset
+	Spoil        // noise comes in place of an answer, and the connection stays open
+	Late         // what nodes send comes some time later
 )
 
+// lateness is how much later what nodes send arrives on a late way.
+const lateness = 200 * time.Millisecond
+
+// noise is what comes in place of an answer on a spoilt way.
+const noise = "\x00\x01noise\r\n\r\nHTTP/1.1 200"
+
 // Proxy stands between the nodes of one group and one address. Both sides believe that they talk to each other.
 type Proxy struct {
 	listener net.Listener
@@ -165,6 +174,22 @@
 	target.Close()
 }
 
+// pass writes bytes to the other side, as the fault of the moment has them. False where the connection is to be reset.
+func (p *Proxy) pass(to net.Conn, data []byte, fromNode bool) bool {
+	fault, _ := p.current()
+	switch {
+	case fault == Late && fromNode:
+		time.Sleep(lateness)
+	case fault == Cut && !fromNode:
+		to.Write(data[:len(data)/2])
+		return false
+	case fault == Spoil && !fromNode:
+		data = []byte(noise)
+	}
+	_, err := to.Write(data)
+	return err == nil
+}
+
 // copy passes bytes on. The end of the node's side is told at once, and passed on when bytes may pass.
 func (p *Proxy) copy(to, from net.Conn, fromNode bool, address string) {
 	buffer := make([]byte, 16<<10)
@@ -179,11 +204,10 @@
 			reset(from)
 			return
 		}
-		if n > 0 {
-			if _, e := to.Write(buffer[:n]); e != nil {
-				reset(from)
-				return
-			}
+		if n > 0 && !p.pass(to, buffer[:n], fromNode) {
+			reset(from)
+			reset(to)
+			return
 		}
 		switch {
 		case errors.Is(err, io.EOF):
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,7 @@
 	Nodes   int           // processes
 	Engines int           // of each role
 	Clients int           // that ask at the same time
+	Overlap int           // troubles at the same time
 	Length  time.Duration // of the troubles
 	Folder  string        // for configurations and logs; made anew, and removed where nothing was found
 }
@@ -178,7 +179,11 @@
 		if err != nil {
 			return err
 		}
-		r.nodes = append(r.nodes, &node{number: i, group: i % groups, addr: addr, config: fmt.Sprintf("%s/n%d.json", r.folder, i), run: r})
+		peerAddr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		r.nodes = append(r.nodes, &node{number: i, group: i % groups, addr: addr, peerAddr: peerAddr, config: fmt.Sprintf("%s/n%d.json", r.folder, i), run: r})
 	}
 	for _, n := range r.nodes {
 		if err := n.start(); err != nil {
@@ -193,6 +198,9 @@
 	return nil
 }
 
+// resumes is whether clients of this run ask for the rest of a stream that broke, which changes how nodes end.
+func (r *run) resumes() bool { return r.config.Seed%3 == 0 }
+
 // readyTime is within what a node has to be ready.
 const readyTime = 10 * time.Second
 
@@ -206,7 +214,7 @@
 		c := &client{run: r, number: i, random: rand.New(rand.NewPCG(r.config.Seed, uint64(100+i))), conns: map[*node]*clientConn{}}
 		all.Go(func() { c.work(end) })
 	}
-	for i := range sideBySide {
+	for i := range r.config.Overlap {
 		random := rand.New(rand.NewPCG(r.config.Seed, uint64(10+i)))
 		all.Go(func() { r.trouble(ctx, random) })
 	}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sandcourse/audit"
+)
+
+// echo is a server that sends back what it reads.
+func echo(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(conn, conn)
+				conn.Close()
+			}()
+		}
+	}()
+	return listener
+}
+
+func through(t *testing.T, p *Proxy, say string) (string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	if _, err := io.WriteString(conn, say); err != nil {
+		return "", err
+	}
+	got := make([]byte, len(say))
+	n, err := io.ReadFull(conn, got)
+	return string(got[:n]), err
+}
+
+func TestProxyFaults(t *testing.T) {
+	p, err := NewProxy(echo(t).Addr().String(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for _, c := range []struct {
+		fault Fault
+		got   string
+		ok    bool
+	}{{Pass, "some words", true}, {Silent, "", false}, {Refuse, "", false}, {Cut, "some ", false}, {Late, "some words", true}, {Pass, "some words", true}} {
+		p.Set(c.fault)
+		got, err := through(t, p, "some words")
+		if got != c.got || (err == nil) != c.ok {
+			t.Errorf("fault %d: %q %v", c.fault, got, err)
+		}
+	}
+	p.Set(Spoil)
+	if got, _ := through(t, p, "some words"); strings.Contains(got, "some") {
+		t.Errorf("spoilt: %q", got)
+	}
+}
+
+// What was written into a silent way and given up is lost, and the end of the node's side is told.
+func TestProxyLosesWhatWasGivenUp(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	closed := make(chan string, 1)
+	p, err := NewProxy(server.Addr().String(), func(address string) { closed <- address })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	p.Set(Silent)
+	node, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine, err := server.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(node, "a request")
+	node.Close()
+	if address := <-closed; address != engine.RemoteAddr().String() {
+		t.Errorf("told of %s, the engine knows it as %s", address, engine.RemoteAddr())
+	}
+	p.Set(Pass)
+	engine.SetDeadline(time.Now().Add(5 * time.Second))
+	if got, err := io.ReadAll(engine); len(got) > 0 || !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("%q %v arrived of what was given up", got, err)
+	}
+}
+
+func TestDiscoveryTellsChanges(t *testing.T) {
+	d, err := newDiscovery(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"a", "b"} {
+		d.put(&instance{id: id, state: serving, hosts: []string{"127.0.0.1:1"}})
+	}
+	known := d.generation
+	d.put(&instance{id: "b", state: deleted, hosts: []string{"127.0.0.1:1"}})
+	states := func(since int64) string {
+		var l wireList
+		if err := json.Unmarshal(d.list(0, since), &l); err != nil {
+			t.Fatal(err)
+		}
+		var row []string
+		for _, i := range l.Instances {
+			row = append(row, i.ID+" "+i.State)
+		}
+		return strings.Join(row, ", ")
+	}
+	if got := states(0); got != "a SERVING" {
+		t.Errorf("the whole list is %s", got)
+	}
+	if got := states(known); got != "b DELETED" {
+		t.Errorf("the changes are %s", got)
+	}
+}
+
+// The judge finds what it is there for.
+func TestJudge(t *testing.T) {
+	at := time.Now()
+	r := &run{log: &audit.Log{}, answers: map[string]int{}, begun: at}
+	seen := func(what, name string, after time.Duration) {
+		r.log.See(audit.Seen{At: at.Add(after), Engine: "e", What: what, Inference: name, Request: name, Writes: true})
+	}
+	for _, name := range []string{"forgotten", "remembered"} {
+		r.log.Hear(audit.Call{Request: name, Inference: name, Route: "label"})
+		seen(audit.Ran, name, 0)
+	}
+	seen(audit.Ran, "forgotten", dedupWindow+time.Millisecond)
+	seen(audit.Ran, "remembered", dedupWindow-time.Millisecond)
+	if row := r.judgeWindows(); len(row) != 1 || !strings.Contains(row[0], "forgotten") {
+		t.Errorf("windows: %q", row)
+	}
+	seen(audit.Began, "sent on", 0)
+	r.unanswered = []audit.Call{{Inference: "sent on"}, {Inference: "never read"}}
+	if row := r.judgeUnanswered(); len(row) != 1 || !strings.Contains(row[0], "sent on") {
+		t.Errorf("unanswered: %q", row)
+	}
+}
+
+// A node's own words count: a rule that its monitor saw broken, and a crash.
+func TestReadLog(t *testing.T) {
+	r := &run{folder: t.TempDir(), answers: map[string]int{}, begun: time.Now()}
+	r.readLog("n1", 1, strings.NewReader(`{"level":"info","msg":"completed"}
+{"level":"error","msg":"rule broken","rule":"two attempts out","inference":"a","how":"attempts 0 and 1"}
+panic: a fault
+`))
+	if len(r.faults) != 2 || !strings.Contains(r.faults[0], "two attempts out") || !strings.Contains(r.faults[1], "panic") {
+		t.Errorf("faults %q", r.faults)
+	}
+}
+
+func TestLeaveDescriptors(t *testing.T) {
+	restore, err := LeaveDescriptors(os.Getpid(), 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open []*os.File
+	for {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			break
+		}
+		open = append(open, f)
+	}
+	if err := restore(); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range open {
+		f.Close()
+	}
+	if len(open) > 2 {
+		t.Errorf("%d descriptors could be had, 2 were left", len(open))
+	}
+}
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -11,13 +11,10 @@
 	"sandcourse/standin/platformengine"
 )
 
-// sideBySide is how many troubles run at the same time.
-const sideBySide = 3
-
 // trouble plays one trouble after the other until ctx ends.
 func (r *run) trouble(ctx context.Context, random *rand.Rand) {
 	kinds := []func(context.Context, *rand.Rand){r.restart, r.restart, r.kill, r.reload, r.reload, r.silentAgent, r.slowAgent,
-		r.silentEngine, r.resetEngine, r.refusingEngine, r.replace, r.replace, r.pause, r.fewDescriptors, r.interrupt}
+		r.silentEngine, r.resetEngine, r.refusingEngine, r.brokenWay, r.brokenWay, r.replace, r.replace, r.pause, r.fewDescriptors, r.interrupt}
 	for ctx.Err() == nil {
 		kinds[random.IntN(len(kinds))](ctx, random)
 		rest(ctx, time.Duration(random.Int64N(int64(400*time.Millisecond))))
@@ -173,6 +170,16 @@
 	way.Set(Pass)
 }
 
+// brokenWay cuts, spoils or delays what passes.
+func (r *run) brokenWay(ctx context.Context, random *rand.Rand) {
+	e, way := r.way(random)
+	fault := []Fault{Cut, Spoil, Late}[random.IntN(3)]
+	r.note("a way to %s has fault %d", e.ID, fault)
+	way.Set(fault)
+	rest(ctx, between(random, 100*time.Millisecond, time.Second))
+	way.Set(Pass)
+}
+
 func (r *run) resetEngine(_ context.Context, random *rand.Rand) {
 	e, way := r.way(random)
 	r.note("a way to %s is reset", e.ID)
