Older lists do not undo drains; releases are tried through a cut of some seconds

Cause: whole lists were taken whatever their revision, so that an agent at a new address that lags lifted the bar of an engine told to drain; holds were given up after four limits without an acknowledgement (4 s), while ways may be cut for 6 to 8 s and states stay then.

--- a/hold/hold.go
+++ b/hold/hold.go
@@ -413,6 +413,10 @@
 	}
 }
 
+// giveUpLimits is for how many limits releases are tried that no engine acknowledges. A node may be cut off from all engines
+// for some seconds, and owes the release once it is not; engines that never acknowledge must not be asked for good.
+const giveUpLimits = 10
+
 // BoundsFor are the bounds of a node that must have each state taken or released within limit.
 func BoundsFor(limit time.Duration, shared bool, most int) Bounds {
 	pin := int64(limit)
@@ -423,7 +427,7 @@
 		// A state that comes to be held just after a release has half the limit left at the next.
 		Rest:   pin / 2,
 		Retry:  max(int64(time.Millisecond), min(int64(50*time.Millisecond), pin/16)),
-		GiveUp: 4 * pin,
+		GiveUp: giveUpLimits * pin,
 		Most:   most,
 		Shared: shared,
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -39,6 +39,7 @@
 
 	list   *roster.List
 	starts starts
+	lists  lists
 	told   attempt.Told
 	listed []string // all engines ever listed
 	// answeredAt is when an engine's last answer began.
@@ -126,6 +127,7 @@
 func (o *Core) sweep() {
 	o.leave()
 	o.handOver()
+	o.lookAgain()
 	o.sweepLines()
 	o.closeWritten()
 	for _, due := range o.gate.Due(o.now) {
--- a/node/digest.go
+++ b/node/digest.go
@@ -63,7 +63,7 @@
 	for _, engine := range slices.Sorted(maps.Keys(o.starts.known)) {
 		fmt.Fprintln(w, "start", engine, o.now-o.starts.known[engine].at)
 	}
-	fmt.Fprintln(w, o.swept-o.now, o.lives)
+	fmt.Fprintln(w, o.swept-o.now, o.lives, o.lists.newest-o.lists.latest.Revision, max(0, o.lists.againAt-o.now))
 }
 
 // what tells control requests apart.
--- a/node/engines.go
+++ b/node/engines.go
@@ -46,8 +46,8 @@
 	return dialect.Engine{Host: cmp.Or(e.Host, engineID), Epoch: e.Epoch}
 }
 
-// TakeList takes a list of engines, which replaces the one before.
-func (o *Core) TakeList(list roster.List) {
+// takeList takes a list of engines, which replaces the one before.
+func (o *Core) takeList(list roster.List) {
 	list.Engines = o.starts.settle(list.Engines, o.now)
 	news, unknown := o.d.News(list)
 	ready := map[string]bool{}
--- a/node/partial_test.go
+++ b/node/partial_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -219,3 +220,87 @@
 		t.Errorf("answers %v, closed %v", row, out.shut)
 	}
 }
+
+// All engines are out of reach for some seconds, as when the node's own network is cut: what they hold is released when the
+// ways are back, as long as a cut of the operators' days lasts.
+func TestReleaseBehindALongCut(t *testing.T) {
+	b, c, _ := writeOut(t, "chat")
+	b.expected = guard.HeldTooLong
+	b.core.Begin(b.now)
+	b.core.ClientGone(c)
+	b.core.Turn(b.now)
+	for cut := b.now + int64(8*time.Second); b.now < cut; b.pass(5 * time.Millisecond) {
+		for len(b.dials) > 0 {
+			line := b.dials[0]
+			b.dials = b.dials[1:]
+			b.core.Begin(b.now)
+			b.core.LineDialled(line, nil, errors.New("no way"))
+			b.core.Turn(b.now)
+		}
+	}
+	before := b.releases("a1")
+	b.pass(time.Second)
+	for len(b.dials) > 0 {
+		b.connect()
+	}
+	if b.releases("a1") == before {
+		t.Error("no release is sent when the ways are back after 8 s")
+	}
+}
+
+// Discovery moves to an agent that lags behind the one before: a drain that was told is not undone by an older list. Where
+// the older list stays, as that of a store that was restored, it counts after some seconds.
+func TestOlderListDoesNotUndoADrain(t *testing.T) {
+	b := newBench(t)
+	tell := func(revision int64, state string, started int64) {
+		b.core.Begin(b.now)
+		b.core.TakeList(roster.List{Revision: revision, Engines: []roster.Entry{
+			{Engine: "r", Host: "127.0.0.1:1", Kind: "m1", Zone: "a", Weight: 1, State: state, UpSince: started},
+			{Engine: "w", Host: "127.0.0.1:1", Kind: "m2", Zone: "a", Weight: 1, State: roster.Ready}}})
+		b.core.Turn(b.now)
+	}
+	sent := func() bool {
+		b.ask(fmt.Sprint("a", b.now), "chat")
+		b.pass(50 * time.Millisecond)
+		any := len(b.dials) > 0
+		for len(b.dials) > 0 {
+			b.connect()
+		}
+		return any
+	}
+	tell(5, roster.Draining, 0)
+	if sent() {
+		t.Error("an attempt to an engine that drains")
+	}
+	tell(4, roster.Ready, 0)
+	b.pass(time.Second)
+	if sent() {
+		t.Error("an attempt to an engine that drains, as an older list has it ready")
+	}
+	b.pass(15 * time.Second)
+	if !sent() {
+		t.Error("no attempt 15 s after an older list, which stays")
+	}
+	tell(6, roster.Draining, 0)
+	tell(7, roster.Ready, 0)
+	if !sent() {
+		t.Error("no attempt to an engine that a newer list has ready again")
+	}
+	gone := func(revision int64) {
+		b.core.Begin(b.now)
+		b.core.TakeList(roster.List{Revision: revision, Engines: []roster.Entry{
+			{Engine: "w", Host: "127.0.0.1:1", Kind: "m2", Zone: "a", Weight: 1, State: roster.Ready}}})
+		b.core.Turn(b.now)
+	}
+	begun := b.now/int64(time.Millisecond) - 1000
+	tell(8, roster.Ready, begun)
+	gone(9)
+	tell(8, roster.Ready, begun)
+	if sent() {
+		t.Error("an attempt to an engine that is gone, as an older list has it")
+	}
+	tell(8, roster.Ready, b.now/int64(time.Millisecond))
+	if !sent() {
+		t.Error("no attempt to an engine that has started anew")
+	}
+}
--- a/node/starts.go
+++ b/node/starts.go
@@ -15,6 +15,7 @@
 type start struct {
 	told int64 // in the list's own units
 	at   int64
+	seen int64 // when it was last listed
 }
 
 // starts turn the starts that lists tell into times on the node's own clock. Machines stamp them with their wall clocks,
@@ -27,22 +28,33 @@
 
 const perMilli = int64(time.Millisecond)
 
-// settle gives the entries of a list their starts on the node's clock, and forgets engines that are not listed.
+// settle gives the entries of a list their starts on the node's clock, and forgets engines that left long ago.
 func (s *starts) settle(engines []roster.Entry, now int64) []roster.Entry {
 	next := make(map[string]start, len(engines))
 	out := make([]roster.Entry, len(engines))
 	for i, e := range engines {
 		if e.UpSince > 0 {
 			known := s.of(e, now)
+			known.seen = now
 			next[e.Engine] = known
 			e.UpSince = known.at / perMilli
 		}
 		out[i] = e
 	}
+	for engine, known := range s.known {
+		if _, listed := next[engine]; !listed && now-known.seen <= departed {
+			next[engine] = known
+		}
+	}
 	s.known, s.began = next, true
 	return out
 }
 
+// isNew is whether an entry tells a start of its engine that was not told before.
+func (s *starts) isNew(e roster.Entry) bool {
+	return e.UpSince > 0 && s.known[e.Engine].told != e.UpSince
+}
+
 func (s *starts) of(e roster.Entry, now int64) start {
 	before, known := s.known[e.Engine]
 	if known && before.told == e.UpSince {
