--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -68,11 +68,11 @@
 		return false, nil, nil // nothing new, or changes that are known
 	}
 	before, generation := c.engines, c.generation
-	c.engines, c.wantsWhole = maps.Clone(c.engines), false
-	if a.Whole {
-		c.engines = map[string]roster.Entry{}
+	c.generation, c.wantsWhole = *a.Generation, false
+	if !a.Whole {
+		return true, c.put(a.Entries), nil
 	}
-	c.generation = *a.Generation
+	c.engines = map[string]roster.Entry{}
 	odd = c.put(a.Entries)
 	news = before == nil || c.generation != generation || !maps.Equal(before, c.engines)
 	return news, odd, nil
