--- /dev/null
+++ b/cmd/sandcourse-plan/signals_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startPlanner builds the planner and starts it from the sample script with a roster of its own.
+func startPlanner(t *testing.T, log *os.File) (command *exec.Cmd, address string) {
+	t.Helper()
+	folder := t.TempDir()
+	binary := filepath.Join(folder, "sandcourse-plan")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	script, err := os.ReadFile("../../settings/planner.star")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const listen = "127.0.0.1:9090"
+	address = "127.0.0.1:19091"
+	if !bytes.Contains(script, []byte(listen)) {
+		t.Fatalf("the sample script does not listen on %s", listen)
+	}
+	file := filepath.Join(folder, "planner.star")
+	if err := os.WriteFile(file, bytes.Replace(script, []byte(listen), []byte(address), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command = exec.Command(binary, "--settings", file)
+	command.Stderr, command.Stdout = log, log
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { command.Process.Kill(); command.Wait() })
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if answer, err := http.Get("http://" + address + "/metrics"); err == nil {
+			answer.Body.Close()
+			return command, address
+		}
+		if time.Now().After(end) {
+			t.Fatal("the planner never serves")
+		}
+	}
+}
+
+// The reader of the planner's log ends, its terminal hangs up, and it logs: it goes on, until SIGTERM.
+func TestPlannerOutlivesItsLog(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command, address := startPlanner(t, writer)
+	writer.Close()
+	reader.Close()
+	if err := command.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(500 * time.Millisecond) // it looks for its roster, which is not there, and says so
+	answer, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		t.Fatalf("the planner has ended: %v", err)
+	}
+	answer.Body.Close()
+	if err := command.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := command.Wait(); err != nil && !strings.Contains(err.Error(), "already") {
+		t.Errorf("at SIGTERM the planner ends with %v", err)
+	}
+}
