Planner and node share what they do with signals and log, in package process

Cause: the planner caught SIGTERM and SIGINT only, once it ran, and logged on its own goroutines. Change: package process, taken from the node's main; the planner tells SIGHUP in its log.

--- a/cmd/sandcourse-edge/main.go
+++ b/cmd/sandcourse-edge/main.go
@@ -15,12 +15,13 @@
 	"go.uber.org/zap"
 
 	"sandcourse/edge"
+	"sandcourse/process"
 	"sandcourse/script"
 	"sandcourse/settings"
 )
 
 func main() {
-	asked := catchSignals()
+	asked := process.CatchSignals()
 	var file, config string
 	c := &cobra.Command{Use: "sandcourse-edge --settings FILE | --config FILE", Short: "One node of sandcourse", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
@@ -44,12 +45,12 @@
 	}
 }
 
-func run(file string, asked signals) error {
+func run(file string, asked process.Signals) error {
 	d, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	log := newLog()
+	log := process.NewLog()
 	defer log.Sync()
 	n := edge.New(d, log, nil, uint64(time.Now().UnixNano()))
 	if err := n.Start(); err != nil {
@@ -57,9 +58,9 @@
 	}
 	for running := true; running; {
 		select {
-		case <-asked.stop:
+		case <-asked.Stop:
 			running = false
-		case <-asked.reload:
+		case <-asked.Reload:
 			log.Warn("SIGHUP: a settings script is read at the start alone; restart the node to change it")
 		}
 	}
--- a/cmd/sandcourse-edge/platform.go
+++ b/cmd/sandcourse-edge/platform.go
@@ -16,6 +16,7 @@
 	"sandcourse/edge"
 	"sandcourse/netfault"
 	"sandcourse/platform"
+	"sandcourse/process"
 	"sandcourse/script"
 )
 
@@ -53,7 +54,7 @@
 
 // onPlatform runs the node that the platform's configuration describes, until SIGTERM. A further SIGTERM changes nothing:
 // the node is ending, and the platform has SIGKILL for what it does not want to wait for.
-func onPlatform(file string, asked signals) error {
+func onPlatform(file string, asked process.Signals) error {
 	told, err := readTold(file)
 	if err != nil {
 		return err
@@ -66,7 +67,7 @@
 	debug.SetMemoryLimit(int64(told.Memory()) * 3 / 5)
 	// More than the one core: a poller that waits for sockets must not keep the owner from running.
 	runtime.GOMAXPROCS(4)
-	log := newLog()
+	log := process.NewLog()
 	defer log.Sync()
 	at := make(chan string, 1)
 	at <- told.Discovery
@@ -78,11 +79,11 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	reloads := &reloader{file: file, reload: asked.reload, at: at, log: log}
+	reloads := &reloader{file: file, reload: asked.Reload, at: at, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go reloads.run(ctx)
-	<-asked.stop
+	<-asked.Stop
 	if err := n.Drain(context.Background()); err != nil {
 		log.Warn("stopped with inferences open", zap.Error(err))
 	}
--- a/cmd/sandcourse-plan/main.go
+++ b/cmd/sandcourse-plan/main.go
@@ -3,27 +3,25 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"sandcourse/plan"
+	"sandcourse/process"
 	"sandcourse/script"
 	"sandcourse/settings"
 )
 
 func main() {
+	asked := process.CatchSignals()
 	var file string
 	var takeOver, check bool
 	c := &cobra.Command{Use: "sandcourse-plan --settings FILE", Short: "The planner of sandcourse", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true,
-		RunE: func(*cobra.Command, []string) error { return run(file, takeOver, check) }}
+		RunE: func(*cobra.Command, []string) error { return run(file, asked, takeOver, check) }}
 	c.Flags().StringVar(&file, "settings", "", "the planner's script")
 	c.Flags().BoolVar(&takeOver, "take-over", false, "begin a new store though engines follow another planner, which is fenced off")
 	c.Flags().BoolVar(&check, "check", false, "check the script and end")
@@ -38,24 +36,25 @@
 	}
 }
 
-func run(file string, takeOver, check bool) error {
+func run(file string, asked process.Signals, takeOver, check bool) error {
 	d, err := settings.LoadPlanner(file)
 	if err != nil || check {
 		return err
 	}
 	d.TakeOver = takeOver
-	log, err := zap.NewProduction()
-	if err != nil {
-		return err
-	}
+	log := process.NewLog()
 	defer log.Sync()
 	p := plan.New(d, log)
 	if err := p.Start(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	<-ctx.Done()
-	p.Stop()
-	return nil
+	for {
+		select {
+		case <-asked.Stop:
+			p.Stop()
+			return nil
+		case <-asked.Reload:
+			log.Warn("SIGHUP: the script is read at the start alone; restart the planner to change it")
+		}
+	}
 }
--- a/cmd/sandcourse-plan/signals_test.go
+++ b/cmd/sandcourse-plan/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,7 +26,12 @@
 		t.Fatal(err)
 	}
 	const listen = "127.0.0.1:9090"
-	address = "127.0.0.1:19091"
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = reserved.Addr().String()
+	reserved.Close()
 	if !bytes.Contains(script, []byte(listen)) {
 		t.Fatalf("the sample script does not listen on %s", listen)
 	}
