--- a/cmd/sandcourse-edge/signals_test.go
+++ b/cmd/sandcourse-edge/signals_test.go
@@ -65,10 +65,7 @@
 	p := &processes{t: t}
 	p.awaitReady(listen)
 	// The reload is made up for once the node runs, and a reader that waits for a configuration holds up no shutdown.
-	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	awaitExit(t, node, 0)
+	endNode(t, node)
 }
 
 // awaitExit waits for the end of a process and looks at its exit code.
@@ -86,6 +83,25 @@
 	}
 }
 
+// endNode ends a node by SIGTERM.
+func endNode(t *testing.T, node *exec.Cmd) {
+	t.Helper()
+	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	awaitExit(t, node, 0)
+}
+
+// serves looks whether the first node answers some requests, each of which it logs.
+func (p *processes) serves() {
+	p.t.Helper()
+	for i := range 3 {
+		if status := p.ask(http.DefaultClient, p.nodes[0], fmt.Sprintf("q%d", i), "chat", 2*time.Second); status != http.StatusOK {
+			p.t.Fatalf("request %d is answered %d", i, status)
+		}
+	}
+}
+
 // The reader of a node's log may end before the node, as when a log collector is restarted.
 func TestLogReaderEnds(t *testing.T) {
 	reader, writer, err := os.Pipe()
@@ -95,15 +111,8 @@
 	p, node := startOne(t, func(c *exec.Cmd) { c.Stdout, c.Stderr = writer, writer })
 	writer.Close()
 	reader.Close()
-	for i := range 3 {
-		if status := p.ask(http.DefaultClient, p.nodes[0], fmt.Sprintf("q%d", i), "chat", 2*time.Second); status != http.StatusOK {
-			t.Errorf("request %d behind the end of the log's reader is answered %d", i, status)
-		}
-	}
-	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	awaitExit(t, node, 0)
+	p.serves()
+	endNode(t, node)
 }
 
 // A node whose log is not read any more must not wait for its reader. The pipe is full from the beginning.
@@ -116,15 +125,8 @@
 	fillPipe(t, writer)
 	p, node := startOne(t, func(c *exec.Cmd) { c.Stdout, c.Stderr = writer, writer })
 	writer.Close()
-	for i := range 3 {
-		if status := p.ask(http.DefaultClient, p.nodes[0], fmt.Sprintf("q%d", i), "chat", 2*time.Second); status != http.StatusOK {
-			t.Fatalf("request %d is answered %d while nobody reads the log", i, status)
-		}
-	}
-	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	awaitExit(t, node, 0)
+	p.serves()
+	endNode(t, node)
 }
 
 // fillPipe writes until the pipe takes nothing more.
@@ -157,6 +159,16 @@
 	awaitExit(t, node, 0)
 }
 
+// withOtherAgent is the configuration of the first node with another address of discovery, whose calls are counted.
+func (p *processes) withOtherAgent(asked *atomic.Int64) string {
+	p.t.Helper()
+	text, err := os.ReadFile(p.configs[0])
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return strings.Replace(string(text), p.agent, newAgent(p.t, someList, asked), 1)
+}
+
 // A new configuration comes while the node ends: what discovery tells counts until its end.
 func TestReloadDuringShutdown(t *testing.T) {
 	p, node := startOne(t, nil)
@@ -168,12 +180,7 @@
 	}
 	time.Sleep(50 * time.Millisecond) // the node must have taken it; nothing outside shows that
 	var asked atomic.Int64
-	other := newAgent(t, someList, &asked)
-	text, err := os.ReadFile(p.configs[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := strings.Replace(string(text), p.agent, other, 1)
+	changed := p.withOtherAgent(&asked)
 	if err := os.WriteFile(p.configs[0], []byte(changed), 0o644); err != nil {
 		t.Fatal(err)
 	}
@@ -190,12 +197,7 @@
 func TestHalfWrittenConfiguration(t *testing.T) {
 	p, node := startOne(t, nil)
 	var asked atomic.Int64
-	other := newAgent(t, someList, &asked)
-	text, err := os.ReadFile(p.configs[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	changed := strings.Replace(string(text), p.agent, other, 1)
+	changed := p.withOtherAgent(&asked)
 	if err := os.WriteFile(p.configs[0], []byte(changed[:len(changed)/2]), 0o644); err != nil {
 		t.Fatal(err)
 	}
--- a/node/core_test.go
+++ b/node/core_test.go
@@ -373,17 +373,23 @@
 	}
 }
 
+// mayHaveRun is a bench on which a deduplicated request was written to a writer, whose connection then broke.
+func mayHaveRun(t *testing.T) *bench {
+	b := newBench(t)
+	b.ask("a1", "label")
+	b.held(b.connect())
+	writer := b.connect()
+	b.core.Begin(b.now)
+	b.core.LineBroken(writer.line)
+	b.core.Turn(b.now)
+	return b
+}
+
 // Found by random settings: a class is deduplicated for a time, and the window passed while the connection of the second
 // attempt came up. It is looked at again before the first byte.
 func TestWindowThatPassesWhileAConnectionComesUp(t *testing.T) {
 	for _, after := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond} {
-		b := newBench(t)
-		b.ask("a1", "label")
-		b.held(b.connect())
-		writer := b.connect()
-		b.core.Begin(b.now)
-		b.core.LineBroken(writer.line) // it may have run
-		b.core.Turn(b.now)
+		b := mayHaveRun(t)
 		b.pass(after)
 		for len(b.dials) > 0 {
 			b.connect()
--- a/node/partial_test.go
+++ b/node/partial_test.go
@@ -143,13 +143,7 @@
 // attempt at the end of the window, so a repeat must not be written in the last of it.
 func TestWindowLeavesRoomForANodeThatIsHeldUp(t *testing.T) {
 	for _, held := range []time.Duration{160 * time.Millisecond, 290 * time.Millisecond} {
-		b := newBench(t)
-		b.ask("a1", "label")
-		b.held(b.connect())
-		writer := b.connect()
-		b.core.Begin(b.now)
-		b.core.LineBroken(writer.line) // it may have run
-		b.core.Turn(b.now)
+		b := mayHaveRun(t)
 		b.pass(held)
 		for len(b.dials) > 0 {
 			b.connect()
