--- a/node/lines.go
+++ b/node/lines.go
@@ -62,7 +62,7 @@
 		return
 	}
 	if err != nil {
-		o.dialFailed(l, errors.Is(err, ErrLocal))
+		o.dialFailed(l, err)
 		return
 	}
 	o.watch.Connection(l.Engine, Dialled)
@@ -76,12 +76,13 @@
 }
 
 // dialFailed ends a line that did not come up. Where the cause is this machine's, it says nothing of the engine.
-func (o *Core) dialFailed(l *Line, here bool) {
+func (o *Core) dialFailed(l *Line, err error) {
 	o.pool.Happen(l.ID, conns.DialFailed, o.now)
 	delete(o.lines, l.ID)
-	if !here {
+	why := "no connection: " + err.Error()
+	if !errors.Is(err, ErrLocal) {
 		o.watch.Connection(l.Engine, DialFailed)
-		o.dropLoad(l, attempt.NoLine)
+		o.dropLoad(l, attempt.NoLine, why)
 		return
 	}
 	o.watch.Connection(l.Engine, DialFailedHere)
@@ -89,7 +90,7 @@
 		l.control = nil
 		o.controlUnsent(e)
 	}
-	o.dropLoad(l, attempt.Barred)
+	o.dropLoad(l, attempt.Barred, why)
 }
 
 // writeLine is where the first byte of a send goes out, so the drain gate stands here: news may have come
@@ -238,7 +239,7 @@
 	}
 	o.pool.Happen(l.ID, conns.Spoiled, o.now)
 	o.closeLine(l.ID)
-	o.dropLoad(l, attempt.Reset)
+	o.dropLoad(l, attempt.Reset, connectionGone)
 }
 
 func (o *Core) closeLine(id int64) {
@@ -258,21 +259,24 @@
 		delete(o.lines, l.ID)
 		o.watch.Connection(l.Engine, ConnectionBroken)
 	}
-	o.dropLoad(l, attempt.Reset)
+	o.dropLoad(l, attempt.Reset, connectionGone)
 }
 
 // atOnce is how soon a line ends that the other side had given up before it was written to: a way there and
 // back.
 const atOnce = int64(20 * time.Millisecond)
 
+// connectionGone is why what a line carried has ended where its connection was closed or broke.
+const connectionGone = "the connection is gone"
+
 // dropLoad tells what a line carried that it is gone.
-func (o *Core) dropLoad(l *Line, in attempt.Input) {
+func (o *Core) dropLoad(l *Line, in attempt.Input, why string) {
 	if s := l.send; s != nil {
 		if in == attempt.Reset && l.again && s.heads == 0 && o.now-l.wroteAt < atOnce {
 			s.stale = true
 			o.pool.Hasty(l.Engine, o.now)
 		}
-		o.happen(s, in, "the connection is gone")
+		o.happen(s, in, why)
 	}
 	if e := l.control; e != nil {
 		l.control = nil
