--- a/edge/node.go
+++ b/edge/node.go
@@ -139,7 +139,7 @@
 		n.chat, err = net.Listen("tcp", n.d.Chat)
 		return err
 	}
-	if err := untilItStands(n.alive, listen); err != nil {
+	if err := n.untilItStands(listen); err != nil {
 		return fmt.Errorf("listen for chat calls on %s: %w", n.d.Chat, err)
 	}
 	addr := n.chat.Addr().String()
@@ -156,7 +156,7 @@
 	n.back.OnClose(n.backClosed)
 	n.back.OnRead(n.backReadable)
 	n.back.OnWrittenSize(n.backWrote)
-	if err := untilItStands(n.alive, n.back.Start); err != nil {
+	if err := n.untilItStands(n.back.Start); err != nil {
 		n.chat.Close()
 		return fmt.Errorf("start the side of engines: %w", err)
 	}
--- a/edge/patience.go
+++ b/edge/patience.go
@@ -1,9 +1,10 @@
 package edge
 
 import (
-	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sandcourse/netfault"
 )
 
@@ -15,15 +16,18 @@
 )
 
 // untilItStands repeats a step of the start while it fails for a want of this machine, for some seconds at most.
-func untilItStands(ctx context.Context, step func() error) error {
+func (n *Node) untilItStands(step func() error) error {
 	end := time.Now().Add(startTime)
-	for {
+	for told := false; ; told = true {
 		err := step()
 		if err == nil || !netfault.Local(err) || time.Now().After(end) {
 			return err
 		}
+		if !told {
+			n.log.Warn("the start waits", zap.Error(err), zap.Duration("at_most", startTime))
+		}
 		select {
-		case <-ctx.Done():
+		case <-n.alive.Done():
 			return err
 		case <-time.After(startPause):
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -39,7 +39,7 @@
 	p.all, _ = netip.ParseAddrPort(all)
 	at, err := net.ResolveUDPAddr("udp", listen)
 	if err == nil {
-		err = untilItStands(n.alive, func() (err error) {
+		err = n.untilItStands(func() (err error) {
 			p.conn, err = net.ListenUDP("udp", at)
 			return err
 		})
