Soak: nodes listen at addresses of their own, so that no connection holds their ports

A probe: listening on a connection's near port fails with EADDRINUSE, on another address it does not. The node waited for its address, as it should; the harness had reserved the port and given it back.

--- a/soak/node.go
+++ b/soak/node.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -291,12 +290,15 @@
 	return errors.New(n.name() + " is not ready in " + most.String())
 }
 
-// freeAddress is an address on which nobody listens.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+// Ports of nodes. Their addresses are their own, so that no connection of another process can have one of these ports as
+// its near end: such a connection would keep a node that starts from its address.
+const (
+	clientPort = 8000
+	peerPort   = 8001
+)
+
+// address is an address of a node's own in 127.0.0.0/8, different in runs side by side.
+func address(number, port int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>8&63, pid&255, number+1, port)
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -175,15 +175,8 @@
 		}
 	}
 	for i := range r.config.Nodes {
-		addr, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		peerAddr, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		r.nodes = append(r.nodes, &node{number: i, group: i % groups, addr: addr, peerAddr: peerAddr, config: fmt.Sprintf("%s/n%d.json", r.folder, i), run: r})
+		r.nodes = append(r.nodes, &node{number: i, group: i % groups, addr: address(i, clientPort), peerAddr: address(i, peerPort),
+			config: fmt.Sprintf("%s/n%d.json", r.folder, i), run: r})
 	}
 	for _, n := range r.nodes {
 		if err := n.start(); err != nil {
