Read again: one retry for a reload, one wait for SIGTERM, no method for tests alone

A reload tried a file again within readTold, for up to five seconds, and around it: the inner tries are the start's alone now. The node and the planner had the same loop over their signals (Signals.AwaitStop). guard.Monitor.Open was asked by tests alone and stands with them.

--- a/cmd/sandcourse-edge/main.go
+++ b/cmd/sandcourse-edge/main.go
@@ -56,14 +56,7 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
-	for running := true; running; {
-		select {
-		case <-asked.Stop:
-			running = false
-		case <-asked.Reload:
-			log.Warn("SIGHUP: a settings script is read at the start alone; restart the node to change it")
-		}
-	}
+	asked.AwaitStop(log)
 	signal.Reset(syscall.SIGTERM, os.Interrupt) // a second one ends it at once
 	if err := n.Drain(context.Background()); err != nil {
 		log.Warn("stopped with inferences open", zap.Error(err))
--- a/cmd/sandcourse-edge/platform.go
+++ b/cmd/sandcourse-edge/platform.go
@@ -26,13 +26,24 @@
 	openPause = 50 * time.Millisecond
 )
 
-// readTold reads the platform's configuration; the error, if any, is of type script.Faults.
-func readTold(file string) (*platform.Told, error) {
+// readAtStart reads the platform's configuration, and waits for a descriptor if there is none.
+func readAtStart(file string) (*platform.Told, error) {
 	data, err := readBounded(file)
 	for tries := 1; netfault.Local(err) && tries < openTries; tries++ {
 		time.Sleep(openPause)
 		data, err = readBounded(file)
 	}
+	return parseTold(file, data, err)
+}
+
+// readTold reads the platform's configuration once.
+func readTold(file string) (*platform.Told, error) {
+	data, err := readBounded(file)
+	return parseTold(file, data, err)
+}
+
+// parseTold makes a configuration of what was read of its file; the error, if any, is of type script.Faults.
+func parseTold(file string, data []byte, err error) (*platform.Told, error) {
 	if err != nil {
 		return nil, script.Faults{fmt.Sprintf("%s: %v", file, err)}
 	}
@@ -55,7 +66,7 @@
 // onPlatform runs the node that the platform's configuration describes, until SIGTERM. A further SIGTERM changes nothing:
 // the node is ending, and the platform has SIGKILL for what it does not want to wait for.
 func onPlatform(file string, asked process.Signals) error {
-	told, err := readTold(file)
+	told, err := readAtStart(file)
 	if err != nil {
 		return err
 	}
--- a/cmd/sandcourse-plan/main.go
+++ b/cmd/sandcourse-plan/main.go
@@ -48,13 +48,7 @@
 	if err := p.Start(); err != nil {
 		return err
 	}
-	for {
-		select {
-		case <-asked.Stop:
-			p.Stop()
-			return nil
-		case <-asked.Reload:
-			log.Warn("SIGHUP: the script is read at the start alone; restart the planner to change it")
-		}
-	}
+	asked.AwaitStop(log)
+	p.Stop()
+	return nil
 }
--- a/guard/monitor.go
+++ b/guard/monitor.go
@@ -1,10 +1,7 @@
 package guard
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 )
 
@@ -198,6 +195,3 @@
 	m.violations = nil
 	return row
 }
-
-// Open are the requests that are known, by id.
-func (m *Monitor) Open() []int64 { return slices.SortedFunc(maps.Keys(m.requests), cmp.Compare[int64]) }
--- a/process/process.go
+++ b/process/process.go
@@ -29,6 +29,18 @@
 	return Signals{stop, reload}
 }
 
+// AwaitStop waits for Stop, in a program that reads its settings at its start alone: SIGHUP is told in the log.
+func (s Signals) AwaitStop(log *zap.Logger) {
+	for {
+		select {
+		case <-s.Stop:
+			return
+		case <-s.Reload:
+			log.Warn("SIGHUP: the settings are read at the start alone; restart the program to change them")
+		}
+	}
+}
+
 // Of lines with the same message, the first of each second are written, and then one in so many.
 const (
 	sampledFirst = 100
