Logs and metrics: how long events wait for the owner, what made the policy end a request

The report's records show that nodes were late, and no log or metric of a node said so: an event's wait in the inbox was not measured, and each request that the policy shed or failed was logged without what decided it. No decision moves.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,12 +78,12 @@
 		protocol:       protocol,
 		endpoints:      source,
 		startedAt:      time.Now(),
-		inbox:          newInbox(deployment.QueueBytes),
 		loads:          loadCounters{},
 		metrics:        newMetrics(),
 		pollersPerSide: defaultPollers,
 		stopped:        make(chan struct{}),
 	}
+	e.inbox = newInbox(deployment.QueueBytes, e.clock)
 	e.incarnation = e.startedAt.UnixMilli()
 	e.lifetime, e.endLifetime = context.WithCancel(context.Background())
 	e.clients = clientSide{edge: e, limit: newConnectionLimit(deployment.Limits.Connections + spareConnections)}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 
 	decisionPanics  prometheus.Counter
 	decisionSeconds prometheus.Counter
+	ownerDelay      *prometheus.HistogramVec
 
 	clientCloses      *prometheus.CounterVec
 	engineConnections *prometheus.CounterVec
@@ -30,6 +31,9 @@
 	oldestReservation prometheus.Gauge
 }
 
+// ownerDelayBuckets are in seconds. 0.3 is what an event of a stream has on its way to the client, 1 the end of a stream.
+var ownerDelayBuckets = []float64{0.001, 0.005, 0.025, 0.1, 0.3, 1, 3}
+
 func newMetrics() *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
 	m.registerRequests()
@@ -65,6 +69,10 @@
 func (m *metrics) registerDecisions() {
 	m.decisionPanics = m.counter("sandcourse_module_failures_total", "Panics of the decision module; each ends all that was open.")
 	m.decisionSeconds = m.counter("sandcourse_module_seconds_total", "Time spent in the decision module.")
+	m.ownerDelay = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "sandcourse_owner_delay_seconds",
+		Help:    "How long events wait until the owner handles them, by what they are about.",
+		Buckets: ownerDelayBuckets}, []string{"kind"})
+	m.registry.MustRegister(m.ownerDelay)
 }
 
 func (m *metrics) registerResources() {
--- a/internal/edge/observer.go
+++ b/internal/edge/observer.go
@@ -57,6 +57,9 @@
 	if summary.Reason != "" {
 		fields = append(fields, zap.String("reason", string(summary.Reason)))
 	}
+	if summary.Cause != "" {
+		fields = append(fields, zap.String("cause", summary.Cause))
+	}
 	o.edge.log.Info("request finished", fields...)
 }
 
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -20,7 +20,8 @@
 // ownerLoop is the state of the goroutine that owns the router.
 type ownerLoop struct {
 	edge  *Edge
-	tasks []func() // of this round; its memory is used again
+	tasks []queuedTask // of this round; its memory is used again
+	delay delayReport
 	// When the owner last emptied the inbox, and when it did the time before: a poller that waits for capacity in a full
 	// inbox hands over what it read before the last time.
 	lastTaken, previouslyTaken int64
@@ -29,7 +30,7 @@
 
 // runOwner is the one goroutine that owns the router. It ends with Stop.
 func (e *Edge) runOwner() {
-	l := ownerLoop{edge: e, lastTaken: e.clock(), previouslyTaken: e.clock()}
+	l := ownerLoop{edge: e, lastTaken: e.clock(), previouslyTaken: e.clock(), delay: newDelayReport(e)}
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
@@ -42,6 +43,7 @@
 		}
 		l.runTasks()
 		l.setGauges()
+		l.delay.logIfLate(e.clock())
 	}
 }
 
@@ -53,17 +55,18 @@
 	e.router.SetEarliestEventTime(l.previouslyTaken)
 	l.lastTaken, l.previouslyTaken = turnedAt, l.lastTaken
 	l.tasks = e.inbox.take(l.tasks)
-	for _, run := range l.tasks {
+	for _, task := range l.tasks {
 		now := e.clock()
 		if now-turnedAt >= maxTurnDelay {
 			e.router.RunDue(now)
 			turnedAt = now
 		}
 		e.router.SetTime(now)
-		e.runUrgent()
-		run()
+		l.runUrgent()
+		l.delay.note(requestTask, now, task.queuedAt)
+		task.run()
 	}
-	e.runUrgent()
+	l.runUrgent()
 	e.router.RunDue(e.clock())
 }
 
@@ -77,9 +80,10 @@
 }
 
 // runUrgent runs the tasks that overtake the inbox. The owner calls it.
-func (e *Edge) runUrgent() {
-	for _, run := range e.inbox.takeUrgent() {
-		run()
+func (l *ownerLoop) runUrgent() {
+	for _, task := range l.edge.inbox.takeUrgent() {
+		l.delay.note(listTask, l.edge.clock(), task.queuedAt)
+		task.run()
 	}
 }
 
--- a/internal/router/observer.go
+++ b/internal/router/observer.go
@@ -42,6 +42,7 @@
 	Request, Route, Session    string
 	Outcome                    RequestOutcome
 	Reason                     FailureReason // why it has failed; empty for other outcomes
+	Cause                      string        // what made the policy shed or fail it; empty where it did not
 	Attempts                   []string      // the engine and the verdict of each
 	Duration, TimeToFirstToken time.Duration // the latter is 0 where no token came
 	PromptTokens, OutputTokens int
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -107,10 +107,12 @@
 		r.startAttempt(action)
 	case routing.Shed:
 		if req := r.requests.byID[action.RequestID]; req != nil {
+			req.cause = action.Cause
 			r.shedRequest(req, int64(action.RetryAfter))
 		}
 	case routing.Fail:
 		if req := r.requests.byID[action.RequestID]; req != nil {
+			req.cause = action.Cause
 			r.failRequest(req)
 		}
 	case routing.CancelAttempt:
--- a/internal/router/request_outcomes.go
+++ b/internal/router/request_outcomes.go
@@ -100,7 +100,7 @@
 func (r *Router) reportRequest(req *request, reason FailureReason) {
 	call := req.received.Call
 	summary := RequestSummary{Request: req.name, Route: r.config.Routes[req.route].Name, Session: call.Session, Outcome: req.outcome,
-		Duration: time.Duration(r.now - req.arrivedAt), PromptTokens: call.PromptTokens, OutputTokens: req.tokens, Reason: reason}
+		Duration: time.Duration(r.now - req.arrivedAt), PromptTokens: call.PromptTokens, OutputTokens: req.tokens, Reason: reason, Cause: req.cause}
 	if req.streaming {
 		summary.TimeToFirstToken = time.Duration(req.firstTokenAt - req.arrivedAt)
 	}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -26,6 +26,7 @@
 	abandonedUntil int64          // until when a cancelled attempt may still act at its engine; 0 where there is none
 	tokens         int            // forwarded by the router; relays count theirs
 	outcome        RequestOutcome // empty until it has one
+	cause          string         // what made the policy end it; empty where it did not
 }
 
 // forwardsTokens is whether tokens are forwarded to the client as they come.
--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -17,10 +17,14 @@
 type Shed struct {
 	RequestID  int64
 	RetryAfter time.Duration // 0: no advice
+	Cause      string        // for logs: what the request's state machine was told
 }
 
 // Fail is the final answer that promises nothing.
-type Fail struct{ RequestID int64 }
+type Fail struct {
+	RequestID int64
+	Cause     string // for logs: what the request's state machine was told
+}
 
 // CancelAttempt abandons one attempt.
 type CancelAttempt struct {
--- a/internal/routing/admission_test.go
+++ b/internal/routing/admission_test.go
@@ -14,7 +14,7 @@
 	}
 	n.arrive(5, 0, "new")
 	n.actions = n.actions[2:] // its two timers
-	n.want(Shed{RequestID: 5}, Release{5})
+	n.want(Shed{RequestID: 5, Cause: "cannot meet objective"}, Release{5})
 }
 
 // Incident i72c633: old latencies stood for a queue that was empty again.
@@ -46,7 +46,7 @@
 		if others == 0 {
 			n.want()
 		} else {
-			n.want(Shed{RequestID: 1}, CancelAttempt{1, 0}, Release{1})
+			n.want(Shed{RequestID: 1, Cause: "cannot meet objective"}, CancelAttempt{1, 0}, Release{1})
 		}
 	}
 }
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -10,6 +10,7 @@
 type request struct {
 	RequestArrived
 	state          state
+	lastTrigger    trigger // that a transition took
 	arrivedAt      time.Duration
 	prefillEngine  string
 	decodeEngine   string
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -84,9 +84,9 @@
 			// Longer than it takes to work off a few prefills, shorter than most clients wait.
 			retryAfter = min(500*time.Millisecond, p.config.MaxRetryAfter)
 		}
-		p.act(Shed{req.RequestID, retryAfter})
+		p.act(Shed{req.RequestID, retryAfter, req.lastTrigger.String()})
 	} else {
-		p.act(Fail{req.RequestID})
+		p.act(Fail{req.RequestID, req.lastTrigger.String()})
 	}
 	return p.releaseAll(req)
 }
--- a/internal/routing/retry_test.go
+++ b/internal/routing/retry_test.go
@@ -19,14 +19,14 @@
 	n := newTestNode(t, nil)
 	n.arrive(1, 1, "s")
 	n.step(3990*ms, TimerFired{1})
-	n.want(Fail{1}, CancelAttempt{1, 0}, Release{1})
+	n.want(Fail{1, "deadline near"}, CancelAttempt{1, 0}, Release{1})
 }
 
 func TestDecodeThatMayHaveRunFailsANonRetriable(t *testing.T) {
 	n := newTestNode(t, nil)
 	decodeEngine := n.prefill(20*ms, 1, n.arrive(1, 1, "s"))
 	n.step(20*ms, Outcome{RequestID: 1, Attempt: 1, Engine: decodeEngine, Verdict: ConnectionLost})
-	n.want(Fail{1}, Release{1})
+	n.want(Fail{1, "attempts exhausted"}, Release{1})
 }
 
 // Incident i368f41: single attempts vanish while their engine answers later ones.
@@ -74,5 +74,5 @@
 		t.Fatalf("after %s it went to %q", first, second)
 	}
 	n.step(240*ms, Outcome{RequestID: 1, Attempt: 2, Engine: second, Verdict: NotConnected})
-	n.want(Shed{1, 0}, Release{1})
+	n.want(Shed{1, 0, "attempts exhausted"}, Release{1})
 }
--- a/internal/routing/transitions.go
+++ b/internal/routing/transitions.go
@@ -47,7 +47,7 @@
 		if i < 0 {
 			return
 		}
-		req.state, event = transitions[i].next, noTrigger
+		req.state, req.lastTrigger, event = transitions[i].next, event, noTrigger
 		p.firedTransitions |= 1 << i
 		if transitions[i].run != nil {
 			event = transitions[i].run(p, req)
