--- /dev/null
+++ b/cmd/sandcourse-edge/large_fleet_test.go
@@ -0,0 +1,316 @@
+package main_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sandcourse/internal/audit"
+	"sandcourse/internal/fake/platformengine"
+	"sandcourse/internal/protocol/chat"
+	"sandcourse/internal/protocol/platform"
+)
+
+// The platform's terms, for what the tests of this file check.
+const (
+	drainGrace      = 250*time.Millisecond + 50*time.Millisecond // every limit is 50 ms longer on sockets
+	endForwardLimit = time.Second                                // for the end of a stream
+	lateAnswerLimit = 500 * time.Millisecond                     // after the deadline
+	// machineSlack is what a machine that runs other tests at the same time may add.
+	machineSlack = 300 * time.Millisecond
+	// servedShare is what a node has to serve of what it would serve in a small fleet.
+	servedShare = 0.85
+)
+
+// slowStartObligations are those of a fleet of 300 nodes whose engines start slowly.
+const slowStartObligations = `,"cold_us":9000000,"cold_share":0.3,"fall_multiple":3.0,"overload_for_us":1000000`
+
+// fleetNodes is how many nodes the settings tell of.
+const fleetNodes = 300
+
+// changingAgent is a discovery agent whose list changes.
+type changingAgent struct {
+	mu         sync.Mutex
+	generation int
+	entries    map[string]string // by ID
+	changedAt  map[string]int    // the generation of the last change, by ID
+	updated    chan struct{}     // closed at the next change
+}
+
+func newChangingAgent(t *testing.T) (agent *changingAgent, address string) {
+	agent = &changingAgent{entries: map[string]string{}, changedAt: map[string]int{}, updated: make(chan struct{})}
+	server := httptest.NewServer(agent)
+	t.Cleanup(server.Close)
+	return agent, strings.TrimPrefix(server.URL, "http://")
+}
+
+// update publishes entries by ID.
+func (a *changingAgent) update(entries map[string]string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.generation++
+	for id, entry := range entries {
+		a.entries[id], a.changedAt[id] = entry, a.generation
+	}
+	close(a.updated)
+	a.updated = make(chan struct{})
+}
+
+// list is what an agent answers to one that knows a generation; complete where that is 0.
+func (a *changingAgent) list(known int) (text string, updated <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var instances []string
+	for id, entry := range a.entries {
+		if known == 0 || a.changedAt[id] > known {
+			instances = append(instances, entry)
+		}
+	}
+	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, a.generation, known == 0, strings.Join(instances, ",")), a.updated
+}
+
+func (a *changingAgent) current() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.generation
+}
+
+func (a *changingAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	known, _ := strconv.Atoi(r.URL.Query().Get("index"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		text, updated := a.list(known)
+		if known == 0 || a.current() > known {
+			fmt.Fprint(w, text)
+			return
+		}
+		select {
+		case <-updated:
+		case <-end:
+			fmt.Fprint(w, text)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// largeFleet is one edge as a process, and many engines with a discovery agent whose list changes.
+type largeFleet struct {
+	*edgeProcesses
+	agent   *changingAgent
+	engines []*platformengine.Engine
+}
+
+func startLargeFleet(t *testing.T, engines int) *largeFleet {
+	t.Helper()
+	log := &audit.Log{}
+	f := &largeFleet{edgeProcesses: &edgeProcesses{t: t, log: log, fleet: platformengine.NewFleet(log), obligations: slowStartObligations}}
+	entries := map[string]string{}
+	for i := range engines {
+		config := platformengine.Config{ID: fmt.Sprintf("s-%04d", i), Role: platformengine.Prefill, Slots: 4, WorkTime: 10 * time.Millisecond}
+		if i%2 == 1 {
+			config.Role, config.Events = platformengine.Decode, 5
+		}
+		e, err := f.fleet.Start(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(e.Stop)
+		f.engines = append(f.engines, e)
+		entries[e.ID] = e.Entry()
+	}
+	agent, address := newChangingAgent(t)
+	f.agent = agent
+	agent.update(entries)
+	list, _ := agent.list(0)
+	f.startEdge(edgeBinary(t), 0, fleetNodes, address, list, nil)
+	f.awaitReady(f.addresses[0])
+	return f
+}
+
+// replaceHalf lets a tenth of the engines drain in each step, while the tenth before comes back, just started. Half of the
+// engines are never replaced.
+func (f *largeFleet) replaceHalf(ctx context.Context, interval time.Duration) {
+	step := len(f.engines) / 10
+	for i := 0; ctx.Err() == nil; i++ {
+		entries := map[string]string{}
+		for j := range step {
+			back, leaving := f.engines[(i%5)*step+j], f.engines[((i+1)%5)*step+j]
+			entries[back.ID] = back.EntryIn(platformengine.Serving, time.Now())
+			entries[leaving.ID] = leaving.EntryIn(platformengine.Draining, time.Time{})
+			f.log.RecordReadiness(audit.ReadinessChange{At: time.Now(), Engine: back.ID, Ready: true})
+			f.log.RecordReadiness(audit.ReadinessChange{At: time.Now(), Engine: leaving.ID})
+		}
+		f.agent.update(entries)
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// sendAtRate sends requests at a rate for a time, each as an own client does, and waits for all answers.
+func (f *largeFleet) sendAtRate(name string, perSecond int, length, deadline time.Duration) (sent int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	defer client.CloseIdleConnections()
+	var all sync.WaitGroup
+	interval := time.Second / time.Duration(perSecond)
+	start := time.Now()
+	for at := time.Duration(0); at < length; at += interval {
+		time.Sleep(time.Until(start.Add(at)))
+		id := fmt.Sprintf("%s%d", name, sent)
+		sent++
+		all.Go(func() { f.send(client, id, deadline) })
+	}
+	all.Wait()
+	return sent
+}
+
+// send sends one request and records what its client sees.
+func (f *largeFleet) send(client *http.Client, id string, deadline time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.addresses[0]+platform.CompletionsPath, strings.NewReader(`{"model":"chat"}`))
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	for field, value := range map[string]string{platform.HeaderRequestID: id, platform.HeaderRequestClass: "chat",
+		platform.HeaderAffinityKey: "s" + id, platform.HeaderTimeout: fmt.Sprintf("%.3f", deadline.Seconds())} {
+		r.Header.Set(field, value)
+	}
+	record := audit.ClientRecord{ClientRequestID: id, RequestID: id, Route: "chat", Edge: "n0", Sent: time.Now(), Deadline: time.Now().Add(deadline)}
+	defer func() { record.End = time.Now(); f.log.RecordClient(record) }()
+	answer, err := client.Do(r)
+	if err != nil {
+		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
+		return
+	}
+	defer answer.Body.Close()
+	readAnswer(answer, &record)
+}
+
+// readAnswer reads an answer to its end.
+func readAnswer(answer *http.Response, record *audit.ClientRecord) {
+	record.OutcomeCount, record.Outcome = 1, audit.OutcomeErrored
+	if answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests {
+		record.Outcome = audit.OutcomeShed
+	}
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		if answer.StatusCode != http.StatusOK {
+			continue
+		}
+		if record.FirstToken == 0 {
+			record.FirstToken = time.Since(record.Sent)
+		}
+		if lines.Text() == "data: "+chat.Done {
+			record.Outcome = audit.OutcomeCompleted
+		}
+	}
+	if err := lines.Err(); err != nil {
+		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
+	}
+}
+
+// checkAll checks the rules, the end of each stream and the share that was served.
+func (f *largeFleet) checkAll(sent int) {
+	f.t.Helper()
+	f.waitForRelease()
+	rules := audit.Rules{DrainGrace: drainGrace, ReservationLimit: pinLimit, Tolerance: pinSlack}
+	for _, violation := range f.log.Check(rules, time.Now()) {
+		f.t.Errorf("%s\n\t%s", violation, strings.Join(f.log.Trace(violation.RequestID), "\n\t"))
+	}
+	f.checkAnswers(sent)
+}
+
+// checkAnswers checks what clients saw against what engines did.
+func (f *largeFleet) checkAnswers(sent int) {
+	f.t.Helper()
+	ended := map[string]time.Time{}
+	for _, record := range f.log.EngineRecords() {
+		if record.Event == audit.AttemptEnded {
+			ended[record.RequestID] = record.At
+		}
+	}
+	completed := 0
+	var slowestToken, slowestEnd time.Duration
+	for _, record := range f.log.ClientRecords() {
+		if record.Outcome == audit.OutcomeCompleted {
+			completed++
+			slowestToken = max(slowestToken, record.FirstToken)
+			slowestEnd = max(slowestEnd, record.End.Sub(ended[record.RequestID]))
+		} else if late := record.End.Sub(record.Deadline); late > lateAnswerLimit+machineSlack {
+			f.t.Errorf("%s is %s %v after its deadline", record.RequestID, record.Outcome, late)
+		}
+	}
+	if slowestEnd > endForwardLimit+machineSlack {
+		f.t.Errorf("the end of a stream reaches its client %v after its engine's end", slowestEnd)
+	}
+	if float64(completed) < servedShare*float64(sent) {
+		f.t.Errorf("%d of %d requests are served", completed, sent)
+	}
+	f.t.Logf("%d of %d served, slowest first token %v, slowest end %v", completed, sent, slowestToken, slowestEnd)
+}
+
+// throttle gives a process a share of a core, by stopping it for the rest of each period.
+func throttle(ctx context.Context, pid int, share float64, period time.Duration) {
+	running := time.Duration(share * float64(period))
+	for ctx.Err() == nil {
+		syscall.Kill(pid, syscall.SIGSTOP)
+		time.Sleep(period - running)
+		syscall.Kill(pid, syscall.SIGCONT)
+		time.Sleep(running)
+	}
+}
+
+func TestRollingReplacementOfALargeFleetDelaysNoRequest(t *testing.T) {
+	const engines, perSecond, lasts, share = 1600, 40, 6 * time.Second, 0.4 // of a core, as the deployment allows
+	f := startLargeFleet(t, engines)
+	ctx, stop := context.WithTimeout(context.Background(), lasts)
+	defer stop()
+	go f.replaceHalf(ctx, 300*time.Millisecond)
+	var throttled sync.WaitGroup
+	throttled.Go(func() { throttle(ctx, f.pids[0], share, 40*time.Millisecond) })
+	f.checkAll(f.sendAtRate("q", perSecond, lasts, 4800*time.Millisecond))
+	throttled.Wait()
+}
+
+func TestNodeServesAtOnceAfterABurstThatItCannotServe(t *testing.T) {
+	const engines, share = 200, 0.1
+	f := startLargeFleet(t, engines)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var throttled sync.WaitGroup
+	throttled.Go(func() { throttle(ctx, f.pids[0], share, 40*time.Millisecond) })
+	var burst sync.WaitGroup
+	burst.Go(func() { f.sendAtRate("burst", 1500, 2*time.Second, 4800*time.Millisecond) })
+	time.Sleep(2*time.Second + 500*time.Millisecond)
+	stop()
+	throttled.Wait()
+	after := time.Now()
+	sent := f.sendAtRate("after", 40, 2*time.Second, 4800*time.Millisecond)
+	burst.Wait()
+	served := 0
+	for _, record := range f.log.ClientRecords() {
+		if strings.HasPrefix(record.RequestID, "after") && record.Outcome == audit.OutcomeCompleted && record.FirstToken < time.Second {
+			served++
+		}
+		if late := record.End.Sub(record.Deadline); record.Outcome != audit.OutcomeCompleted && late > lateAnswerLimit+machineSlack {
+			t.Errorf("%s is %s %v after its deadline", record.RequestID, record.Outcome, late)
+		}
+	}
+	if float64(served) < servedShare*float64(sent) {
+		t.Errorf("%d of %d requests that come %v after a burst are served within a second", served, sent, time.Since(after))
+	}
+}
--- a/internal/fake/platformengine/engine.go
+++ b/internal/fake/platformengine/engine.go
@@ -78,16 +78,31 @@
 	Zone            string      `json:"zone"`
 	Role            Role        `json:"machineType"`
 	Cell            int         `json:"cell"`
-	Lifecycle       string      `json:"lifecycle"`
+	Lifecycle       Lifecycle   `json:"lifecycle"`
 	Weight          json.Number `json:"weight"` // as the service writes it, with a fraction
 	StartedAtMillis int64       `json:"startedAtMs"`
 }
 
-// Entry is the engine as the discovery service lists it, in JSON.
-func (e *Engine) Entry() string {
-	entry, _ := json.Marshal(listEntry{ // has no value that JSON lacks
-		ID: e.ID, Addr: e.Addr, Zone: "a", Role: e.Role, Lifecycle: "SERVING", Weight: "1.0",
-	})
+// Lifecycle is the state of an engine in the discovery service.
+type Lifecycle string
+
+// The states of an engine in the discovery service.
+const (
+	Serving  Lifecycle = "SERVING"
+	Draining Lifecycle = "DRAINING"
+	Deleted  Lifecycle = "DELETED"
+)
+
+// Entry is the engine as the discovery service lists it, in JSON: it serves, and has run for long.
+func (e *Engine) Entry() string { return e.EntryIn(Serving, time.Time{}) }
+
+// EntryIn is the engine as the discovery service lists it in a state; the zero time stands for a start long ago.
+func (e *Engine) EntryIn(lifecycle Lifecycle, startedAt time.Time) string {
+	listed := listEntry{ID: e.ID, Addr: e.Addr, Zone: "a", Role: e.Role, Lifecycle: lifecycle, Weight: "1.0"}
+	if !startedAt.IsZero() {
+		listed.StartedAtMillis = startedAt.UnixMilli()
+	}
+	entry, _ := json.Marshal(listed) // has no value that JSON lacks
 	return string(entry)
 }
 
