--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -14,8 +14,7 @@
 // whatever filled them: too much traffic, engines that are lost or slow, or caches that were lost. It does
 // harm where latencies are high but harmless. Resumed streams are always admitted.
 func (p *Policy) admit(req *request) trigger {
-	loads := p.openLoads()
-	decoders := p.usableEngines(req, loads, func(e *engine) bool { return e.canDecode })
+	decoders := p.usableEngines(req, p.decodeEngines, everyEngine)
 	if len(decoders) == 0 || req.Resumed {
 		return admitted
 	}
@@ -25,7 +24,7 @@
 		return cannotMeetObjective
 	}
 	prefill, objective := p.engines[req.prefillEngine], p.firstTokenObjective(req)
-	expected := p.expectedLatency(req, prefill, decoders, loads)
+	expected := p.expectedLatency(req, prefill, decoders)
 	overrun := sample{p.now, time.Duration(expected - 0.25*objective)}
 	p.expectedOverruns = appendBounded(p.expectedOverruns, overrun, 48)
 	// Latencies are known late and vary, so the limit is under the objective: 0.8 of it for the highest
@@ -43,15 +42,20 @@
 
 // expectedLatency is when the first token of a request is expected, in nanoseconds since its arrival.
 // Reservations that wait here for a decode engine say more than any latency.
-func (p *Policy) expectedLatency(req *request, prefill *engine, decoders []*engine,
-	loads map[string]engineLoad) float64 {
+func (p *Policy) expectedLatency(req *request, prefill *engine, decoders []*engine) float64 {
 	var decodeLatencies []time.Duration
+	none := 0
 	for _, e := range decoders {
-		latency, _ := p.latency(e, loads[e.Engine])
-		decodeLatencies = append(decodeLatencies, latency)
+		if p.isQuiet(e) {
+			none++
+		} else if latency, _ := p.latency(e, p.loadOf(e)); latency > 0 {
+			decodeLatencies = append(decodeLatencies, latency)
+		} else {
+			none++
+		}
 	}
-	latency, _ := p.latency(prefill, loads[prefill.Engine])
-	return float64(p.now - req.arrivedAt + median(p.reservationWaits()) + latency + median(decodeLatencies))
+	latency, _ := p.latency(prefill, p.loadOf(prefill))
+	return float64(p.now - req.arrivedAt + median(p.reservationWaits()) + latency + medianWithZeros(decodeLatencies, none))
 }
 
 // shedLate sheds a request that is not prefilled by its objective, where it may be shed with an attempt in
--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -30,10 +30,10 @@
 	// rest.
 	const maxAge = 5 * time.Minute
 	most := 0.0
-	for _, k := range []cacheKey{{true, req.Session, e.Engine}, {false, req.Prefix, e.Engine}} {
-		if v, ok := p.cache.entries[k]; ok && k.key != "" && p.now-v.at < maxAge {
+	for _, text := range req.texts() {
+		if v, ok := p.cache.entries[cacheKey{text, e.Engine}]; ok && text.key != "" && p.now-v.at < maxAge {
 			n := v.tokens
-			if !k.isSession {
+			if !text.isSession {
 				n = min(n, req.PrefixTokens)
 			}
 			most = max(most, min(n, req.PromptTokens))
@@ -45,11 +45,33 @@
 	return most
 }
 
+// texts are what engines may cache of a request's prompt.
+func (r *request) texts() [2]cachedText {
+	return [...]cachedText{sessionText(r.Session), prefixText(r.Prefix)}
+}
+
+// cachingEngines are those of some engines, in order of IDs, that are thought to cache any of the prompt, in the
+// order of the session's hash.
+func (p *Policy) cachingEngines(req *request, engines []*engine) (caching []*engine) {
+	seen := map[string]bool{}
+	for _, text := range req.texts() {
+		for _, holder := range p.cache.holders[text] {
+			if seen[holder] {
+				continue
+			}
+			seen[holder] = true
+			if e := find(engines, holder); e != nil && p.cachedTokens(req, e) > 0 {
+				caching = append(caching, e)
+			}
+		}
+	}
+	return firstByHash(req.Session, caching, len(caching))
+}
+
 // recordCached notes what an engine caches after a prefill. If a prefix was not cached that should have been,
 // the engine has lost its cache: all that was cached before is dropped.
 func (p *Policy) recordCached(req *request, engine string, cachedTokens float64) {
-	prefix := cacheKey{false, req.Prefix, engine}
-	known, ok := p.cache.entries[prefix]
+	known, ok := p.cache.entries[cacheKey{prefixText(req.Prefix), engine}]
 	if ok && req.Prefix != "" && cachedTokens < 0.5*min(known.tokens, req.PrefixTokens) {
 		p.cache.drop(engine, req.arrivedAt)
 	}
@@ -57,9 +79,9 @@
 		hit := int64(1e6 * max(0, cachedTokens-req.PrefixTokens) / rest)
 		p.cache.recentHits = appendBounded(p.cache.recentHits, hit, 64)
 	}
-	p.cache.entries[cacheKey{true, req.Session, engine}] = cacheEntry{req.PromptTokens, p.now}
+	p.cache.put(sessionText(req.Session), engine, cacheEntry{req.PromptTokens, p.now})
 	if req.Prefix != "" {
-		p.cache.entries[prefix] = cacheEntry{req.PrefixTokens, p.now}
+		p.cache.put(prefixText(req.Prefix), engine, cacheEntry{req.PrefixTokens, p.now})
 	}
 	p.cache.evict(p.now)
 	p.affinities.evict(p.now)
--- a/internal/routing/decode.go
+++ b/internal/routing/decode.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
@@ -13,7 +12,7 @@
 // sendToDecode chooses the decode engine of a request and sends to it.
 func (p *Policy) sendToDecode(req *request) trigger {
 	// A request that no engine may run again fails at once.
-	if !slices.ContainsFunc(p.engineIDs, func(id string) bool { return p.mayRetryOn(req, p.engines[id]) }) {
+	if !slices.ContainsFunc(p.ordered, func(e *engine) bool { return p.mayRetryOn(req, e) }) {
 		return attemptsExhausted
 	}
 	if p.now-req.idleSince > p.config.ReservationLimit-2*p.deadlineMargin()-retryDelay {
@@ -44,31 +43,32 @@
 	cost := func(e *engine) float64 {
 		return distanceCosts[distance(from, e)] + math.Round(10*max(lowMemoryShare, e.memoryShare))
 	}
-	return p.roundRobin(tied, func(x, y *engine) int { return cmp.Compare(cost(x), cost(y)) })
+	tied = leastBy(tied, cost)
+	return tied[p.nextTurn()%len(tied)]
 }
 
 // fewestStreams is the session's engine if it is quick, else all those with the fewest streams of this node.
 func (p *Policy) fewestStreams(req *request) []*engine {
-	loads := p.openLoads()
-	ready := p.usableEngines(req, loads, func(e *engine) bool {
-		return e.canDecode && e.fullUntil <= p.now && p.mayRetryOn(req, e) && p.hasCapacity(req, e, loads[e.Engine])
+	candidates := p.decodeEngines
+	if !p.mayRetryOnNewEngine(req) { // quiet engines fit too, but may not be sent to
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(e *engine) bool { return !p.mayRetryOn(req, e) })
+	}
+	ready := p.usableEngines(req, candidates, func(e *engine) bool {
+		return e.fullUntil <= p.now && p.hasCapacity(req, e)
 	})
-	sticky := p.affinityOf(req.Session).decodeEngine
-	if i := slices.IndexFunc(ready, func(e *engine) bool { return e.Engine == sticky }); i >= 0 {
-		if latency, _ := p.latency(ready[i], loads[sticky]); float64(latency) < p.firstTokenObjective(req)/3 {
-			return ready[i : i+1]
+	if e := find(ready, p.affinityOf(req.Session).decodeEngine); e != nil {
+		if latency, _ := p.latency(e, p.loadOf(e)); float64(latency) < p.firstTokenObjective(req)/3 {
+			return []*engine{e}
 		}
 	}
-	streams := func(e *engine) int { return loads[e.Engine].streams }
-	all := func(*engine) bool { return true }
-	fewest := best(ready, all, func(x, y *engine) int { return streams(x) - streams(y) })
-	return slices.DeleteFunc(ready, func(e *engine) bool { return streams(e) > streams(fewest) })
+	return leastBy(ready, func(e *engine) int { return p.loadOf(e).streams })
 }
 
 // hasCapacity keeps an engine from running out of memory, which evicts its newest streams. It goes by a fresh
 // report and what was sent since, else by this node's own streams, as if all nodes had as many. A wrong guess
 // costs a wait of three quarters of the reservation limit. 1.05: reports are noisy.
-func (p *Policy) hasCapacity(req *request, e *engine, l engineLoad) bool {
+func (p *Policy) hasCapacity(req *request, e *engine) bool {
+	l := p.loadOf(e)
 	memory := p.config.kind(e.Kind).MemoryTokens
 	used := l.promptTokens * float64(p.config.Nodes)
 	if p.hasFreshLoad(e) {
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -9,8 +10,10 @@
 
 // engine is what a node knows of one engine.
 type engine struct {
-	Endpoint
+	quiet                 bool // as isQuiet found it, until something happens
 	canPrefill, canDecode bool
+	warmingSince          time.Duration // when it was last seen to start; 0 if that was long ago
+	Endpoint
 
 	sendTimes      []time.Duration // of the last attempts
 	progressTimes  []time.Duration // of the last prefills that ended and first tokens
@@ -18,10 +21,12 @@
 	latencyPerWork []time.Duration // of the last prefills: for each thousand tokens that were queued or not cached
 	faultTimes     []time.Duration
 	suspect        bool          // it had a fault, and nothing good was seen since
-	warmingSince   time.Duration // when it was last seen to start; 0 if that was long ago
 	fullUntil      time.Duration // when a decode may be sent again after it rejected one
 	healthyAt      time.Duration // when it last answered an attempt
 	removedAt      time.Duration // since when it is not in the endpoint list; 0 while it is
+	listedIn       uint64        // the update that listed it last
+	open           []openAttempt // in flight, in the order of their sends
+	lot            slowStartLot
 
 	memoryShare float64 // by the last report
 	queuedWork  float64 // by the last report
@@ -40,27 +45,47 @@
 // updateEndpoints takes over an endpoint list. An engine that has restarted is warming up, and its cache is
 // empty.
 func (p *Policy) updateEndpoints(update EndpointUpdate) {
-	listed := map[string]bool{}
+	p.updates++
 	for _, endpoint := range update.Engines {
-		listed[endpoint.Engine] = true
 		p.updateEndpoint(endpoint)
 	}
 	for id, e := range p.engines {
-		if update.Complete && !listed[id] || e.Removed {
-			e.Ready = false
-			p.cache.drop(id, p.now)
-			if e.removedAt == 0 {
-				e.removedAt = p.now
-			}
+		if update.Complete && e.listedIn != p.updates || e.Removed {
+			p.removeEngine(id, e)
 		}
 	}
-	loads := p.openLoads()
-	maps.DeleteFunc(p.engines, func(id string, e *engine) bool { return p.expired(e, loads[id]) })
-	p.engineIDs = p.engineIDs[:0]
-	for id := range p.engines {
-		p.engineIDs = append(p.engineIDs, id)
+	known := len(p.engines)
+	maps.DeleteFunc(p.engines, func(_ string, e *engine) bool { return p.expired(e) })
+	p.reordered = p.reordered || len(p.engines) != known
+	p.orderEngines()
+}
+
+// removeEngine notes that an engine is not in the endpoint list any more.
+func (p *Policy) removeEngine(id string, e *engine) {
+	e.Ready = false
+	p.cache.drop(id, p.now)
+	if e.removedAt == 0 {
+		e.removedAt = p.now
+	}
+}
+
+// orderEngines renews the lists of engines by role, each in the order of IDs.
+func (p *Policy) orderEngines() {
+	p.slowStartRates.valid = false
+	if p.reordered {
+		p.reordered = false
+		p.ordered = slices.AppendSeq(p.ordered[:0], maps.Values(p.engines))
+		slices.SortFunc(p.ordered, func(x, y *engine) int { return cmp.Compare(x.Engine, y.Engine) })
+	}
+	p.prefillEngines, p.decodeEngines = p.prefillEngines[:0], p.decodeEngines[:0]
+	for _, e := range p.ordered {
+		if e.Ready && e.canPrefill {
+			p.prefillEngines = append(p.prefillEngines, e)
+		}
+		if e.Ready && e.canDecode {
+			p.decodeEngines = append(p.decodeEngines, e)
+		}
 	}
-	slices.Sort(p.engineIDs)
 }
 
 func (p *Policy) updateEndpoint(endpoint Endpoint) {
@@ -68,7 +93,9 @@
 	if !known {
 		e = &engine{}
 		p.engines[endpoint.Engine] = e
+		p.reordered = true
 	}
+	e.listedIn = p.updates
 	if endpoint.StartedAt > e.StartedAt {
 		e.warmingSince, e.latencySamples, e.latencyPerWork = endpoint.StartedAt, nil, nil
 		e.faultTimes, e.suspect = nil, false
@@ -78,6 +105,7 @@
 		endpoint.Weight = 1
 	}
 	e.Endpoint, e.removedAt = endpoint, 0
+	e.quiet = false
 	role := p.config.kind(endpoint.Kind).Role
 	e.canPrefill, e.canDecode = role != DecodeOnly, role != PrefillOnly
 }
@@ -87,7 +115,8 @@
 	if e == nil || report == nil {
 		return
 	}
-	e.memoryShare, e.queuedWork, e.reportedAt, p.countedLoads = report.MemoryShare, report.QueuedWork, p.now, nil
+	e.quiet = false
+	e.memoryShare, e.queuedWork, e.reportedAt = report.MemoryShare, report.QueuedWork, p.now
 	if report.HasRecentLatency {
 		e.latencySamples = appendBounded(e.latencySamples, sample{p.now, report.RecentLatency}, 64)
 	}
@@ -109,65 +138,11 @@
 	return 1 + differ(to.Zone, from.Zone)
 }
 
-// engineLoad is what this node has open at one engine.
-type engineLoad struct {
-	prefills, streams int
-	promptTokens      float64         // of the streams
-	unreportedTokens  float64         // of the streams that a report may not count yet
-	waits             []time.Duration // of the attempts without a response
-	reportedAt        time.Duration   // of the engine
-}
-
-// openLoads counts what this node has open at each engine.
-func (p *Policy) openLoads() map[string]engineLoad {
-	if p.countedLoads != nil {
-		return p.countedLoads
-	}
-	// One look-up for each attempt: with thousands in flight, these are most of a step's time.
-	counts := map[string]*engineLoad{}
-	for _, req := range p.requests {
-		for i := range req.attempts {
-			a := &req.attempts[i]
-			if !a.inFlight {
-				continue
-			}
-			load := counts[a.engine]
-			if load == nil {
-				load = &engineLoad{reportedAt: p.engines[a.engine].reportedAt}
-				counts[a.engine] = load
-			}
-			load.add(a, req.PromptTokens, p.now)
-		}
-	}
-	loads := make(map[string]engineLoad, len(counts))
-	for id, load := range counts {
-		loads[id] = *load
-	}
-	p.countedLoads = loads
-	return loads
-}
-
-// add counts one attempt that is in flight.
-func (l *engineLoad) add(a *attempt, promptTokens float64, now time.Duration) {
-	if a.decode {
-		l.streams++
-		l.promptTokens += promptTokens
-		if a.sentAt > l.reportedAt-reportDelay {
-			l.unreportedTokens += promptTokens
-		}
-	} else {
-		l.prefills++
-	}
-	if !a.streaming {
-		l.waits = append(l.waits, now-a.sentAt)
-	}
-}
-
 // meanQueuedWork is the mean reported load of the prefill engines that reported within a span.
 func (p *Policy) meanQueuedWork(span time.Duration) float64 {
 	sum, n := 0.0, 0.0
-	for _, id := range p.engineIDs {
-		if e := p.engines[id]; e.canPrefill && p.now-e.reportedAt < span {
+	for _, e := range p.ordered {
+		if e.canPrefill && p.now-e.reportedAt < span {
 			sum, n = sum+e.queuedWork, n+1
 		}
 	}
--- a/internal/routing/fingerprint.go
+++ b/internal/routing/fingerprint.go
@@ -16,8 +16,8 @@
 	fmt.Fprintln(w, p.random.draws, p.rotation, int64(p.now-p.startedAt), p.recentPrefixes,
 		numbers(p.recentLatencyPerWork), p.cache.recentHits, p.samples(p.expectedOverruns),
 		p.samples(p.firstTokenOverruns))
-	for _, id := range p.engineIDs {
-		p.fingerprintEngine(w, p.engines[id])
+	for _, e := range p.ordered {
+		p.fingerprintEngine(w, e)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
 		req := p.requests[id]
--- a/internal/routing/healthcheck.go
+++ b/internal/routing/healthcheck.go
@@ -26,12 +26,11 @@
 	if result.Verdict != TimedOut && result.Verdict != NotConnected && result.Verdict != ConnectionLost {
 		return
 	}
-	for _, req := range p.requestsWhere(func(req *request) bool {
-		att := req.last()
-		return att != nil && att.engine == result.Engine && att.sentAt < e.checkedAt && p.unanswered(att)
-	}) {
-		p.recordFault(e)
-		p.fire(req, engineUnresponsive)
+	for _, req := range e.unansweredRequests() {
+		if att := req.last(); att.sentAt < e.checkedAt && p.unanswered(att) {
+			p.recordFault(e)
+			p.fire(req, engineUnresponsive)
+		}
 	}
 }
 
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -3,20 +3,32 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 )
 
-// prefixCache is what the prefill engines are thought to cache.
+// prefixCache is what the prefill engines are thought to cache, with indexes by text and by engine.
 type prefixCache struct {
 	entries    map[cacheKey]cacheEntry
-	recentHits []int64 // of the last prefills: millionths of what follows the prefix that were cached
+	holders    map[cachedText][]string // engines that have an entry for a text
+	texts      map[string][]cachedText // that an engine has entries for
+	recentHits []int64                 // of the last prefills: millionths of what follows the prefix that were cached
 }
 
-// cacheKey names the text of a session, or a prefix, at one engine.
-type cacheKey struct {
+func newPrefixCache() prefixCache {
+	return prefixCache{entries: map[cacheKey]cacheEntry{}, holders: map[cachedText][]string{}, texts: map[string][]cachedText{}}
+}
+
+// cachedText names the text of a session, or a prefix.
+type cachedText struct {
 	isSession bool
 	key       string
-	engine    string
+}
+
+// cacheKey is a text at one engine.
+type cacheKey struct {
+	cachedText
+	engine string
 }
 
 // cacheEntry is how much of a text is cached.
@@ -25,23 +37,62 @@
 	at     time.Duration
 }
 
+func sessionText(session string) cachedText { return cachedText{true, session} }
+
+func prefixText(prefix string) cachedText { return cachedText{false, prefix} }
+
+// put notes how much of a text an engine caches.
+func (c *prefixCache) put(text cachedText, engine string, entry cacheEntry) {
+	key := cacheKey{text, engine}
+	if _, known := c.entries[key]; !known {
+		c.index(key)
+	}
+	c.entries[key] = entry
+}
+
+// index adds an entry to the indexes.
+func (c *prefixCache) index(key cacheKey) {
+	c.holders[key.cachedText] = append(c.holders[key.cachedText], key.engine)
+	c.texts[key.engine] = append(c.texts[key.engine], key.cachedText)
+}
+
 // hasSession is whether an engine is thought to cache any of a session.
 func (c *prefixCache) hasSession(session, engine string) bool {
-	return c.entries[cacheKey{true, session, engine}].tokens > 0
+	return c.entries[cacheKey{sessionText(session), engine}].tokens > 0
 }
 
 // drop forgets what an engine was thought to cache before a time.
 func (c *prefixCache) drop(engine string, before time.Duration) {
-	for k, v := range c.entries {
-		if k.engine == engine && v.at < before {
-			delete(c.entries, k)
+	kept := slices.DeleteFunc(c.texts[engine], func(text cachedText) bool {
+		key := cacheKey{text, engine}
+		if c.entries[key].at >= before {
+			return false
 		}
+		delete(c.entries, key)
+		c.removeHolder(text, engine)
+		return true
+	})
+	if c.texts[engine] = kept; len(kept) == 0 {
+		delete(c.texts, engine)
+	}
+}
+
+func (c *prefixCache) removeHolder(text cachedText, engine string) {
+	kept := slices.DeleteFunc(c.holders[text], func(holder string) bool { return holder == engine })
+	if c.holders[text] = kept; len(kept) == 0 {
+		delete(c.holders, text)
 	}
 }
 
 func (c *prefixCache) evict(now time.Duration) {
-	if len(c.entries) > maxEntries {
-		maps.DeleteFunc(c.entries, func(_ cacheKey, v cacheEntry) bool { return now-v.at > evictAfter })
+	if len(c.entries) <= maxEntries {
+		return
+	}
+	maps.DeleteFunc(c.entries, func(_ cacheKey, v cacheEntry) bool { return now-v.at > evictAfter })
+	clear(c.holders)
+	clear(c.texts)
+	for key := range c.entries {
+		c.index(key)
 	}
 }
 
@@ -74,7 +125,7 @@
 		return
 	}
 	p.affinities[session] = affinity{prefillEngine, decodeEngine, p.now}
-	p.cache.entries[cacheKey{true, session, prefillEngine}] = cacheEntry{tokens, p.now}
+	p.cache.put(sessionText(session), prefillEngine, cacheEntry{tokens, p.now})
 }
 
 // gossipAffinity tells the other nodes where a session was served, as its next request may come to any of
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -6,7 +6,7 @@
 // came.
 func (p *Policy) handleFirstToken(req *request, first FirstToken) {
 	att := &req.attempts[first.Attempt]
-	att.streaming, p.countedLoads = true, nil
+	att.streaming = true
 	p.recordLatency(p.engines[first.Engine], first.Latency, att.sentAt)
 	p.affinities[req.Session] = affinity{req.prefillEngine, first.Engine, p.now}
 	p.gossipAffinity(req)
@@ -25,7 +25,10 @@
 		return
 	}
 	att := &req.attempts[o.Attempt]
-	att.inFlight, p.countedLoads = false, nil
+	att.inFlight = false
+	if e := p.engines[att.engine]; e != nil {
+		e.noteClosed(req, o.Attempt)
+	}
 	// A decode that never reached its engine has not begun to fetch the KV state: the reservation has waited
 	// on.
 	if !att.decode || !att.canceled && o.Verdict != NotConnected && o.Verdict != NotSent {
@@ -72,7 +75,7 @@
 	case Full:
 		// About the time in which a busy decode engine ends one answer.
 		const fullFor = 150 * time.Millisecond
-		e.fullUntil = p.now + fullFor
+		e.fullUntil, e.quiet = p.now+fullFor, false
 	case TimedOut, NotConnected, ConnectionLost:
 		if !o.StaleConnection && req.state != ended && p.now < req.Deadline-p.deadlineMargin() {
 			p.recordFault(e)
@@ -90,10 +93,12 @@
 	// Less work than half a thousand tokens says more of the network than of the engine.
 	const leastWork = 0.5
 	if work := att.queuedWork - 1 + (req.PromptTokens-o.CachedTokens)/1000; work > leastWork {
+		p.usualWorkLatency.known = false
 		e.latencyPerWork = appendBounded(e.latencyPerWork, time.Duration(float64(o.Latency)/work), 5)
 	}
 	perWork := time.Duration(float64(o.Latency) / att.queuedWork)
 	p.recentLatencyPerWork = appendBounded(p.recentLatencyPerWork, perWork, 32)
+	p.quickLatencyPerWork = lowerQuartile(p.recentLatencyPerWork)
 }
 
 // recordLatency takes a response as a sign of health. Engines serve attempts in turn, so an attempt that
@@ -103,8 +108,9 @@
 	if e == nil {
 		return
 	}
+	e.quiet = false
 	e.latencySamples = appendBounded(e.latencySamples, sample{p.now, latency}, 64)
-	e.progressTimes = appendBounded(e.progressTimes, p.now, 64)
+	e.progressTimes, p.slowStartRates.valid = appendBounded(e.progressTimes, p.now, 64), false
 	// Longer than any overload: an engine that failed and was not healthy since may have restarted unnoticed.
 	const restartAfter = 3 * time.Second
 	if e.suspect && p.now-e.healthyAt > restartAfter {
@@ -112,16 +118,17 @@
 	}
 	e.suspect, e.healthyAt = false, p.now
 	const lostAfterResponses = 2
-	for _, req := range p.requestsWhere(func(req *request) bool {
+	var passed []*request
+	for _, req := range e.unansweredRequests() {
 		att := req.last()
-		if att == nil || !att.inFlight || att.streaming || att.engine != e.Engine {
-			return false
-		}
 		if att.sentAt < sentAt {
 			att.laterResponses++
 		}
-		return att.laterResponses >= lostAfterResponses && float64(p.now-att.sentAt) > p.firstTokenObjective(req)/6
-	}) {
+		if att.laterResponses >= lostAfterResponses && float64(p.now-att.sentAt) > p.firstTokenObjective(req)/6 {
+			passed = append(passed, req)
+		}
+	}
+	for _, req := range passed {
 		p.fire(req, passedByLaterResponse)
 	}
 }
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -19,58 +19,114 @@
 	if len(e.faultTimes) == 0 || p.now-e.faultTimes[len(e.faultTimes)-1] > faultSpan {
 		e.faultTimes = appendBounded(e.faultTimes, p.now, 6)
 	}
-	e.suspect = true
+	e.suspect, e.quiet = true, false
 }
 
 // isSlow is whether an engine takes three times as long for its prefill work as the median engine; its work
 // is what was queued by its report and what was not cached. Latency is high at busy engines too, this is not.
 // It does harm where an engine reports too little work: that one then counts as slow.
 func (p *Policy) isSlow(e *engine) bool {
-	const minSamples, slowFactor = 3, 3
+	const slowFactor = 3
+	usual := p.usualWorkLatencies()
+	return len(e.latencyPerWork) >= minWorkSamples && usual.engines >= minWorkSamples &&
+		median(e.latencyPerWork) > slowFactor*usual.median
+}
+
+// minWorkSamples is of how many prefills, and of how many engines, latencies for work are known that say something.
+const minWorkSamples = 3
+
+// workLatency is the median engine's latency for its work.
+type workLatency struct {
+	known   bool
+	median  time.Duration
+	engines int // of which it is the median
+}
+
+// usualWorkLatencies looks at all engines, once in a step.
+func (p *Policy) usualWorkLatencies() workLatency {
+	if p.usualWorkLatency.known {
+		return p.usualWorkLatency
+	}
 	var all []time.Duration
-	for _, id := range p.engineIDs {
-		if other := p.engines[id]; other.Ready && len(other.latencyPerWork) >= minSamples {
-			all = append(all, median(other.latencyPerWork))
+	for _, e := range p.ordered {
+		if e.Ready && len(e.latencyPerWork) >= minWorkSamples {
+			all = append(all, median(e.latencyPerWork))
 		}
 	}
-	return len(e.latencyPerWork) >= minSamples && len(all) >= minSamples &&
-		median(e.latencyPerWork) > slowFactor*median(all)
+	p.usualWorkLatency = workLatency{known: true, median: median(all), engines: len(all)}
+	return p.usualWorkLatency
 }
 
 // expired is whether an engine was removed so long ago that its faults do not count any more, and has nothing
 // in flight. Engines that are always replaced would else be remembered for ever.
-func (p *Policy) expired(e *engine, l engineLoad) bool {
-	return e.removedAt > 0 && p.now-e.removedAt > faultWindow && l.prefills+l.streams == 0
+func (p *Policy) expired(e *engine) bool {
+	return e.removedAt > 0 && p.now-e.removedAt > faultWindow && len(e.open) == 0
 }
 
-// usableEngines are the engines that fit and are healthy, by ID. Where none is healthy, the best that fit
-// are.
-func (p *Policy) usableEngines(req *request, loads map[string]engineLoad, fits func(*engine) bool) []*engine {
-	fitting, healthy := []*engine{}, []*engine{}
-	latencies, faults := []time.Duration{}, []int64{}
-	for _, id := range p.engineIDs {
-		if e := p.engines[id]; e.Ready && fits(e) && p.withinSlowStart(e) {
-			fitting, faults = append(fitting, e), append(faults, int64(p.countSince(e.faultTimes, faultWindow)))
-			if latency, known := p.latency(e, loads[id]); known {
-				latencies = append(latencies, latency)
-			}
-		}
-	}
-	// The usual latency is of the others: that of an outlier is the largest, and of two or four engines, half
-	// would else be usual.
-	slices.Sort(latencies)
-	usualLatency, usualFaults := median(latencies[:max(0, len(latencies)-1)]), float64(median(faults))
-	for _, e := range fitting {
-		if p.isHealthy(req, e, loads[e.Engine], usualLatency, usualFaults) {
-			healthy = append(healthy, e)
+// usableEngines are those of some ready engines that fit and are healthy, in their order. Where none is healthy,
+// the best that fit are. Whether a quiet engine fits is not asked.
+func (p *Policy) usableEngines(req *request, engines []*engine, fits func(*engine) bool) []*engine {
+	fitting := make([]*engine, 0, len(engines))
+	usual := usualHealth{}
+	for _, e := range engines {
+		warmingUp := p.warmingUp(e)
+		switch {
+		case warmingUp && !p.withinSlowStart(e):
+		case !warmingUp && p.isQuiet(e):
+			fitting = append(fitting, e)
+			usual.faultless++
+		case fits(e):
+			fitting = append(fitting, e)
+			usual.add(p, e)
 		}
 	}
+	healthy := p.healthyEngines(req, fitting, &usual)
 	if len(healthy) > 0 {
 		return healthy
 	}
 	return leastBad(req, fitting)
 }
 
+// healthyEngines are those of some engines that are healthy, in their order.
+func (p *Policy) healthyEngines(req *request, engines []*engine, usual *usualHealth) []*engine {
+	usualLatency, usualFaults := usual.latency(), usual.faultCount()
+	healthy := make([]*engine, 0, len(engines))
+	for _, e := range engines {
+		failed := len(req.attempts) > 0 && req.failedOn(e)
+		if !failed && (p.isQuiet(e) || p.isHealthy(req, e, p.loadOf(e), usualLatency, usualFaults)) {
+			healthy = append(healthy, e)
+		}
+	}
+	return healthy
+}
+
+// usualHealth collects what latencies and faults are usual among engines.
+type usualHealth struct {
+	latencies []time.Duration // of the engines of which they are known
+	faults    []int64         // of the engines that had any
+	faultless int             // engines without one
+}
+
+func (u *usualHealth) add(p *Policy, e *engine) {
+	if faults := p.countSince(e.faultTimes, faultWindow); faults > 0 {
+		u.faults = append(u.faults, int64(faults))
+	} else {
+		u.faultless++
+	}
+	if latency, known := p.latency(e, p.loadOf(e)); known {
+		u.latencies = append(u.latencies, latency)
+	}
+}
+
+// latency is the usual one of the others: that of an outlier is the largest, and of two or four engines, half would
+// else be usual.
+func (u *usualHealth) latency() time.Duration {
+	slices.Sort(u.latencies)
+	return median(u.latencies[:max(0, len(u.latencies)-1)])
+}
+
+func (u *usualHealth) faultCount() float64 { return float64(medianWithZeros(u.faults, u.faultless)) }
+
 // leastBad are those of the unhealthy engines that were healthy since their fault, else those on which the
 // request has not failed: an engine that is gone has the fewest streams. It does harm where all fail alike,
 // as turns are then less even.
--- a/internal/routing/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -39,7 +39,7 @@
 	e := n.policy.engines[decodeEngine]
 	e.faultTimes, e.suspect = []time.Duration{n.now}, true
 	n.policy.now += 5000 * ms
-	if !n.policy.isHealthy(&request{}, e, n.policy.openLoads()[decodeEngine], 0, 0) {
+	if !n.policy.isHealthy(&request{}, e, n.policy.loadOf(e), 0, 0) {
 		t.Fatal("not tried while a stream is open there")
 	}
 	n.step(0, Outcome{RequestID: 1, Attempt: 1, Engine: decodeEngine, Verdict: Completed, RequestEnded: true})
@@ -56,7 +56,7 @@
 		n.policy.engines[id].latencySamples = []sample{{n.now, latency * ms}}
 	}
 	req := &request{RequestArrived: RequestArrived{PromptTokens: 2000}}
-	for _, e := range n.policy.usableEngines(req, n.policy.openLoads(), func(e *engine) bool { return e.canPrefill }) {
+	for _, e := range n.policy.usableEngines(req, n.policy.prefillEngines, everyEngine) {
 		if e.Engine == "r3" {
 			t.Error("the slow one is as good as the others")
 		}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -15,8 +15,13 @@
 	started   bool
 	actions   []Action // of the current step
 
-	engines    map[string]*engine
-	engineIDs  []string // sorted
+	engines        map[string]*engine
+	ordered        []*engine // all, by ID
+	prefillEngines []*engine // those that are ready and can prefill, by ID
+	decodeEngines  []*engine // those that are ready and can decode, by ID
+	updates        uint64    // of the endpoint list
+	reordered      bool      // engines have come or gone since ordered was renewed
+
 	requests   map[int64]*request
 	timers     timerTable
 	cache      prefixCache
@@ -26,26 +31,28 @@
 
 	recentPrefixes       []string        // of the last requests
 	recentLatencyPerWork []time.Duration // of the last prefills: by the queued work reported before, and themselves as one
+	quickLatencyPerWork  time.Duration   // the lower quartile of these
 	expectedOverruns     []sample        // of the last requests: expected latency over a quarter of the objective
 	firstTokenOverruns   []sample        // of the last first tokens: latency over the objective
 
-	// countedLoads is what openLoads counted, until an attempt starts, streams or ends, or a report comes.
-	// Counting takes most of a step's time on a node with thousands of open streams.
-	countedLoads     map[string]engineLoad
-	firedTransitions uint64 // a bit for each
+	slowStartRates   slowStartRates
+	usualWorkLatency workLatency // of the current step
+	firedTransitions uint64      // a bit for each
 }
 
 // New returns the policy of one node that has just started.
 func New(seed uint64, config Config) *Policy {
 	return &Policy{config: &config, engines: map[string]*engine{}, requests: map[int64]*request{},
-		timers: timerTable{pending: map[int64]timer{}}, cache: prefixCache{entries: map[cacheKey]cacheEntry{}},
-		affinities: affinityTable{}, random: randomSource{seed: seed}}
+		timers: timerTable{pending: map[int64]timer{}}, cache: newPrefixCache(),
+		affinities: affinityTable{}, random: newRandomSource(seed)}
 }
 
 // Step handles one event at the time now and returns what is to be done, in order.
 func (p *Policy) Step(now time.Duration, event Event) []Action {
-	p.now, p.actions, p.countedLoads = now, nil, nil
+	p.now, p.actions = now, nil
+	p.usualWorkLatency.known = false
 	p.handle(event)
+	p.usualWorkLatency.known = false
 	return p.actions
 }
 
--- a/internal/routing/prefill.go
+++ b/internal/routing/prefill.go
@@ -12,7 +12,7 @@
 
 // choosePrefill chooses the prefill engine of a request.
 func (p *Policy) choosePrefill(req *request) trigger {
-	e := p.pickPrefill(req, p.openLoads())
+	e := p.pickPrefill(req)
 	if e == nil || p.triedJustNow(req, e) {
 		return noPrefillEngine
 	}
@@ -27,50 +27,58 @@
 
 // pickPrefill takes the first that there is of: the session's engine, a preferred engine, one with the prompt
 // cached and under the load cap, the prefix's by hash, the least loaded.
-func (p *Policy) pickPrefill(req *request, loads map[string]engineLoad) *engine {
-	ready := p.usableEngines(req, loads, func(e *engine) bool { return e.canPrefill })
+func (p *Policy) pickPrefill(req *request) *engine {
+	ready := p.usableEngines(req, p.prefillEngines, everyEngine)
 	if len(ready) == 0 {
 		return nil
 	}
 	if e := find(ready, p.affinityOf(req.Session).prefillEngine); e != nil {
 		return e
 	}
-	c := p.newPrefillChoice(req, loads, ready)
+	c := p.newPrefillChoice(req, ready)
 	if e := c.preferred(); e != nil {
 		return e
 	}
-	if e := c.cachedOrHashed(); e != nil {
+	caching := p.cachingEngines(req, ready)
+	if e := c.cachedOrHashed(caching); e != nil {
 		return e
 	}
-	// The rotation goes on with each choice, whether it is used or not.
-	rotated := p.roundRobin(ready, c.leastLoaded)
-	return cmp.Or(best(ready, c.underCap, c.leastLoaded), best(ready, c.hasCached, c.leastLoaded), rotated)
+	return c.fallback(caching)
 }
 
+// everyEngine fits every engine.
+func everyEngine(*engine) bool { return true }
+
 // prefillChoice is the choice of one request's prefill engine among those that are ready.
 type prefillChoice struct {
 	policy         *Policy
 	req            *request
-	loads          map[string]engineLoad
-	ready          []*engine
-	total, weights float64 // of all that are ready: prefills, this one included, and effective weights
+	ready          []*engine // by ID
+	total, weights float64   // of all that are ready: prefills, this one included, and effective weights
 }
 
-func (p *Policy) newPrefillChoice(req *request, loads map[string]engineLoad, ready []*engine) *prefillChoice {
-	c := &prefillChoice{policy: p, req: req, loads: loads, ready: ready, total: 1}
+func (p *Policy) newPrefillChoice(req *request, ready []*engine) *prefillChoice {
+	c := &prefillChoice{policy: p, req: req, ready: ready, total: 1}
 	for _, e := range ready {
+		if p.isQuiet(e) {
+			c.weights += e.Weight
+			continue
+		}
 		c.total += float64(c.load(e))
 		c.weights += c.weight(e)
 	}
 	return c
 }
 
-func (c *prefillChoice) load(e *engine) int { return c.loads[e.Engine].prefills }
+func (c *prefillChoice) load(e *engine) int { return c.policy.loadOf(e).prefills }
 
 // weight is what the operator gives. What other nodes load, and what is slow, shows only as latency, so it
 // falls with latency over a fifth of the objective.
 func (c *prefillChoice) weight(e *engine) float64 {
-	latency, _ := c.policy.latency(e, c.loads[e.Engine])
+	if c.policy.isQuiet(e) {
+		return e.Weight
+	}
+	latency, _ := c.policy.latency(e, c.policy.loadOf(e))
 	return e.Weight / max(1, 5*float64(latency)/c.policy.firstTokenObjective(c.req))
 }
 
@@ -80,12 +88,9 @@
 
 func (c *prefillChoice) cached(e *engine) float64 { return c.policy.cachedTokens(c.req, e) }
 
-func (c *prefillChoice) hasCached(e *engine) bool { return c.cached(e) > 0 }
-
-// leastLoaded orders by load; crossing zones costs.
-func (c *prefillChoice) leastLoaded(x, y *engine) int {
-	zone := c.policy.config.Zone
-	return cmp.Or(c.load(x)-c.load(y), differ(x.Zone, zone)-differ(y.Zone, zone))
+// loadAndZone is the load of an engine, then whether it is in another zone than this node: crossing zones costs.
+func (c *prefillChoice) loadAndZone(e *engine) int {
+	return 2*c.load(e) + differ(e.Zone, c.policy.config.Zone)
 }
 
 // preferred is a preferred engine that answers and is under the load cap, also by its report. An engine that
@@ -108,42 +113,80 @@
 
 // cachedOrHashed is the engine under the load cap with the most of the prompt cached. If none has any, it is
 // the first by hash of the prefix.
-func (c *prefillChoice) cachedOrHashed() *engine {
-	both := func(e *engine) bool { return c.underCap(e) && c.hasCached(e) }
+func (c *prefillChoice) cachedOrHashed(caching []*engine) *engine {
 	most := func(x, y *engine) int {
-		return cmp.Or(-cmp.Compare(c.cached(x), c.cached(y)), c.leastLoaded(x, y))
+		return cmp.Or(-cmp.Compare(c.cached(x), c.cached(y)), c.loadAndZone(x)-c.loadAndZone(y))
 	}
-	if e := best(byHash(c.req.Session, c.ready), both, most); e != nil {
+	if len(caching) > 0 {
+		return best(caching, c.underCap, most)
+	}
+	if e := firstByHash(c.prefixOrSession(), c.ready, 1)[0]; c.underCap(e) {
 		return e
 	}
-	if slices.ContainsFunc(c.ready, c.hasCached) {
-		return nil
+	return nil
+}
+
+func (c *prefillChoice) prefixOrSession() string { return cmp.Or(c.req.Prefix, c.req.Session) }
+
+// fallback is the least loaded engine under the load cap, or with all over it the least loaded that has any of the
+// prompt cached, or the least loaded by turns. The turns go on with each choice, whether they are used or not.
+func (c *prefillChoice) fallback(caching []*engine) *engine {
+	key := c.prefixOrSession()
+	if len(caching) > 0 {
+		key = c.req.Session
 	}
-	if e := byHash(cmp.Or(c.req.Prefix, c.req.Session), c.ready)[0]; c.underCap(e) {
+	turn := c.policy.nextTurn()
+	if e := c.firstLeastLoaded(key, c.allUnderCap()); e != nil {
 		return e
 	}
-	return nil
+	if e := c.firstLeastLoaded(key, caching); e != nil {
+		return e
+	}
+	tied := leastBy(c.ready, c.loadAndZone)
+	return firstByHash(key, tied, len(tied))[turn%len(tied)]
+}
+
+func (c *prefillChoice) allUnderCap() (engines []*engine) {
+	for _, e := range c.ready {
+		if c.underCap(e) {
+			engines = append(engines, e)
+		}
+	}
+	return engines
+}
+
+// firstLeastLoaded is the first of the least loaded engines by hash; nil for no engines.
+func (c *prefillChoice) firstLeastLoaded(key string, engines []*engine) *engine {
+	if len(engines) == 0 {
+		return nil
+	}
+	return firstByHash(key, leastBy(engines, c.loadAndZone), 1)[0]
 }
 
 // preferredEngines are the first two, the same at all nodes, that the session hashes to among those that
 // cache its prefix: two, as copies take memory, or so many that none prefills more than two thirds of its
 // fair share for the prefix. There are none where the session is known here or nodes gossip.
 func (p *Policy) preferredEngines(req *request, ready []*engine) []*engine {
-	known := func(e *engine) bool { return p.cache.hasSession(req.Session, e.Engine) }
-	if p.config.Nodes < 2 || p.gossipEnabled() || slices.ContainsFunc(ready, known) {
+	if p.config.Nodes < 2 || p.gossipEnabled() || p.sessionCachedIn(req.Session, ready) {
 		return nil
 	}
-	preferred := slices.Clone(ready)
-	if req.Prefix != "" {
-		seen := -1 // this request says nothing of how many there are
-		for _, recent := range p.recentPrefixes {
-			seen += 1 - differ(recent, req.Prefix)
-		}
-		wanted := max(2, int(math.Ceil(1.5*float64(seen*len(ready))/float64(len(p.recentPrefixes)))))
-		preferred = byHash(req.Prefix, preferred)[:min(wanted, len(preferred))]
+	const copies = 2
+	if req.Prefix == "" {
+		return firstByHash(req.Session, ready, copies)
 	}
-	preferred = byHash(req.Session, preferred)
-	return preferred[:min(2, len(preferred))]
+	seen := -1 // this request says nothing of how many there are
+	for _, recent := range p.recentPrefixes {
+		seen += 1 - differ(recent, req.Prefix)
+	}
+	wanted := max(copies, int(math.Ceil(1.5*float64(seen*len(ready))/float64(len(p.recentPrefixes)))))
+	return firstByHash(req.Session, firstByHash(req.Prefix, ready, wanted), copies)
+}
+
+// sessionCachedIn is whether one of some engines, in order of IDs, is thought to cache any of a session.
+func (p *Policy) sessionCachedIn(session string, engines []*engine) bool {
+	return slices.ContainsFunc(p.cache.holders[sessionText(session)], func(holder string) bool {
+		return p.cache.hasSession(session, holder) && find(engines, holder) != nil
+	})
 }
 
 // compareWork compares two preferred engines by the thousands of tokens to prefill until the request is: what
--- /dev/null
+++ b/internal/routing/reference_test.go
@@ -0,0 +1,221 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// What follows computes by a look at everything what the policy keeps in indexes, and compares the two.
+
+// checkIndexes compares all indexes of a policy with a scan.
+func checkIndexes(t *rapid.T, p *Policy) {
+	t.Helper()
+	checkEngineLists(t, p)
+	checkCacheIndexes(t, p)
+	for _, e := range p.ordered {
+		checkEngine(t, p, e)
+	}
+	request := &request{}
+	for name, engines := range map[string][]*engine{"prefill": p.prefillEngines, "decode": p.decodeEngines} {
+		if got, want := p.usableEngines(request, engines, everyEngine), scanUsable(p, request, engines); !slices.Equal(got, want) {
+			t.Fatalf("usable for %s: %v, by a scan %v", name, engineIDs(got), engineIDs(want))
+		}
+	}
+}
+
+func engineIDs(engines []*engine) (ids []string) {
+	for _, e := range engines {
+		ids = append(ids, e.Engine)
+	}
+	return ids
+}
+
+func checkEngineLists(t *rapid.T, p *Policy) {
+	t.Helper()
+	ids := slices.Sorted(maps.Keys(p.engines))
+	if !slices.Equal(engineIDs(p.ordered), ids) {
+		t.Fatalf("in order %v, known %v", engineIDs(p.ordered), ids)
+	}
+	var prefill, decode []*engine
+	for _, id := range ids {
+		if e := p.engines[id]; e.Ready && e.canPrefill {
+			prefill = append(prefill, e)
+		}
+		if e := p.engines[id]; e.Ready && e.canDecode {
+			decode = append(decode, e)
+		}
+	}
+	if !slices.Equal(p.prefillEngines, prefill) || !slices.Equal(p.decodeEngines, decode) {
+		t.Fatalf("by role %v and %v, by a scan %v and %v", engineIDs(p.prefillEngines), engineIDs(p.decodeEngines), engineIDs(prefill), engineIDs(decode))
+	}
+}
+
+func checkCacheIndexes(t *rapid.T, p *Policy) {
+	t.Helper()
+	holders, texts := 0, 0
+	for key := range p.cache.entries {
+		if !slices.Contains(p.cache.holders[key.cachedText], key.engine) || !slices.Contains(p.cache.texts[key.engine], key.cachedText) {
+			t.Fatalf("%v is in no index", key)
+		}
+	}
+	for _, engines := range p.cache.holders {
+		holders += len(engines)
+	}
+	for _, cached := range p.cache.texts {
+		texts += len(cached)
+	}
+	if holders != len(p.cache.entries) || texts != len(p.cache.entries) {
+		t.Fatalf("%d entries, %d and %d in the indexes", len(p.cache.entries), holders, texts)
+	}
+}
+
+func checkEngine(t *rapid.T, p *Policy, e *engine) {
+	t.Helper()
+	load := scanLoad(p, e)
+	got := p.loadOf(e)
+	slices.Sort(got.waits)
+	slices.Sort(load.waits)
+	if !reflect.DeepEqual(got, load) {
+		t.Fatalf("load of %s: %v, by a scan %v", e.Engine, got, load)
+	}
+	latency, known := p.latency(e, load)
+	if p.isQuiet(e) && (known || latency != 0 || e.suspect || len(e.open) > 0 || e.fullUntil > p.now || scanCount(p, e.faultTimes, faultWindow) > 0) {
+		t.Fatalf("%s counts as quiet: %+v, latency %v %v", e.Engine, e, latency, known)
+	}
+	if got, want := p.slowStartRate(e), scanSlowStartRate(p, e); got != want {
+		t.Fatalf("slow start rate of %s: %v, by a scan %v", e.Engine, got, want)
+	}
+}
+
+// scanLoad counts the attempts of all requests.
+func scanLoad(p *Policy, e *engine) (load engineLoad) {
+	for _, req := range p.requests {
+		for i := range req.attempts {
+			if a := &req.attempts[i]; a.inFlight && a.engine == e.Engine {
+				load.add(a, req.PromptTokens, e.reportedAt, p.now)
+			}
+		}
+	}
+	return load
+}
+
+func scanCount(p *Policy, times []time.Duration, span time.Duration) (n float64) {
+	for _, at := range times {
+		if p.now-at < span {
+			n++
+		}
+	}
+	return n
+}
+
+func scanSlowStartRate(p *Policy, e *engine) (rate slowStartRate) {
+	for _, other := range p.engines {
+		recent := scanCount(p, other.progressTimes, slowStartSpan)
+		if other.canPrefill == e.canPrefill && other.canDecode == e.canDecode && (other.Ready || recent > 0) {
+			rate.done, rate.engines = rate.done+recent, rate.engines+1
+		}
+	}
+	return rate
+}
+
+// scanUsable looks at each engine in full.
+func scanUsable(p *Policy, req *request, engines []*engine) []*engine {
+	fitting, healthy := []*engine{}, []*engine{}
+	latencies, faults := []time.Duration{}, []int64{}
+	for _, e := range engines {
+		if !e.Ready || !p.withinSlowStart(e) {
+			continue
+		}
+		fitting, faults = append(fitting, e), append(faults, int64(scanCount(p, e.faultTimes, faultWindow)))
+		if latency, known := p.latency(e, scanLoad(p, e)); known {
+			latencies = append(latencies, latency)
+		}
+	}
+	slices.Sort(latencies)
+	usualLatency, usualFaults := median(latencies[:max(0, len(latencies)-1)]), float64(median(faults))
+	for _, e := range fitting {
+		if p.isHealthy(req, e, scanLoad(p, e), usualLatency, usualFaults) {
+			healthy = append(healthy, e)
+		}
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return leastBad(req, fitting)
+}
+
+func TestFirstByHashAgreesWithASort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.StringN(0, 8, -1).Draw(t, "key")
+		engines := make([]*engine, rapid.IntRange(1, 200).Draw(t, "engines"))
+		for i := range engines {
+			engines[i] = &engine{Endpoint: Endpoint{Engine: fmt.Sprint("s", rapid.IntRange(0, 1000).Draw(t, "id"))}}
+		}
+		count := rapid.IntRange(0, 220).Draw(t, "count")
+		got := firstByHash(key, engines, count)
+		sorted := slices.SortedFunc(slices.Values(engines), func(x, y *engine) int {
+			return cmp.Compare(referenceHash(key+x.Engine), referenceHash(key+y.Engine))
+		})
+		if want := sorted[:min(count, len(sorted))]; !slices.Equal(engineIDs(got), engineIDs(want)) {
+			t.Fatalf("first %d of %v: %v, want %v", count, engineIDs(engines), engineIDs(got), engineIDs(want))
+		}
+	})
+}
+
+// referenceHash is the hash by the standard library.
+func referenceHash(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	x := h.Sum64()
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+func TestRandomNumbersAreThoseOfTheTextHash(t *testing.T) {
+	source := newRandomSource(42)
+	for draw := uint64(1); draw <= 1000; draw++ {
+		if draw%10 == 0 {
+			source.skip(1)
+			continue
+		}
+		want := float64(referenceHash(fmt.Sprint(uint64(42), draw))>>11) / (1 << 53)
+		if got := source.next(); got != want {
+			t.Fatalf("number %d is %v, want %v", draw, got, want)
+		}
+	}
+}
+
+func TestMedianWithZerosAgreesWithASort(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		values := rapid.SliceOfN(rapid.Int64Range(1, 9), 0, 12).Draw(t, "values")
+		zeros := rapid.IntRange(0, 12).Draw(t, "zeros")
+		want := median(append(make([]int64, zeros), values...))
+		if got := medianWithZeros(slices.Clone(values), zeros); got != want {
+			t.Fatalf("median of %v and %d zeros is %d, want %d", values, zeros, got, want)
+		}
+	})
+}
+
+// The cost of a request was the square of the engines in slow start: for each of them all engines were counted.
+func TestSlowStartOfHalfAFleetIsCountedOnceForEachResponse(t *testing.T) {
+	for _, engines := range []int{100, 3200} {
+		n := newFleetNode(t, engines, 0.5)
+		before := n.policy.slowStartRates.counts
+		const requests = 50
+		for range requests {
+			n.serve()
+		}
+		// A request has two responses; each may end the count's validity, and so may one that is 20 s old.
+		if counted := n.policy.slowStartRates.counts - before; counted > 4*requests {
+			t.Errorf("%d engines: all were counted %d times for %d requests", engines, counted, requests)
+		}
+	}
+}
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -15,12 +15,13 @@
 	case req.inFlight(), !e.Ready, !p.withinSlowStart(e):
 		return noDecodeEngine
 	}
-	e.sendTimes, p.countedLoads = appendBounded(e.sendTimes, p.now, 64), nil
+	e.sendTimes = appendBounded(e.sendTimes, p.now, 64)
 	att := attempt{engine: e.Engine, sentAt: p.now, decode: e.canDecode, inFlight: true}
 	if p.hasFreshLoad(e) {
 		att.queuedWork = 1 + e.queuedWork
 	}
 	req.attempts = append(req.attempts, att)
+	e.noteOpen(req)
 	p.act(Send{RequestID: req.RequestID, Engine: e.Engine})
 	p.startTimer(req.RequestID, responseOverdue, p.responseTimeout(req))
 	return noTrigger
@@ -47,6 +48,12 @@
 	return true
 }
 
+// mayRetryOnNewEngine is whether the request's earlier attempts forbid no engine.
+func (p *Policy) mayRetryOnNewEngine(req *request) bool {
+	mayHaveRun := func(att attempt) bool { return att.decode && !att.neverRan }
+	return p.route(req).Effect == Retriable || !slices.ContainsFunc(req.attempts, mayHaveRun)
+}
+
 // retryDelay is a few steps of a decode engine, so that free capacity does not stay idle for long.
 const retryDelay = 30 * time.Millisecond
 
--- a/internal/routing/simulation_test.go
+++ b/internal/routing/simulation_test.go
@@ -76,6 +76,7 @@
 	for _, action := range w.policy.Step(w.now, event) {
 		w.apply(action)
 	}
+	checkIndexes(w.t, w.policy)
 	w.checkReservations()
 }
 
--- a/internal/routing/slowstart.go
+++ b/internal/routing/slowstart.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"fmt"
 	"math"
 	"time"
 )
@@ -22,7 +21,7 @@
 	whole, rest := math.Modf(p.slowStartPlaces(e, window))
 	// Any window touches five quarters at most, so each quarter gives out a fifth. Lots get two thirds of it,
 	// as they fall unevenly.
-	first := float64(hash(fmt.Sprint(e.Engine, int64(4*p.now/window)))%1e6) / 1e6 * nodes
+	first := e.lotIn(int64(4*p.now/window)) * nodes
 	idle := p.countSince(e.sendTimes, window/4) == 0
 	if math.Mod(float64(p.config.Node)+first, nodes) < rest*nodes/7.5 && idle {
 		whole++
@@ -30,20 +29,82 @@
 	return p.countSince(e.sendTimes, window) < whole
 }
 
+// slowStartLot is an engine's lot of one quarter of a window, from 0 to 1, the same at all nodes.
+type slowStartLot struct {
+	quarter int64
+	value   float64
+}
+
+// lotIn draws the lot of a quarter, once.
+func (e *engine) lotIn(quarter int64) float64 {
+	if e.lot.quarter != quarter || quarter == 0 {
+		drawn := fnvHash(fnvOffset).add(e.Engine).addNumber(uint64(quarter)).sum()
+		e.lot = slowStartLot{quarter, float64(drawn%1e6) / 1e6}
+	}
+	return e.lot.value
+}
+
+// slowStartSpan is the time whose work counts: a node among many sends little, and all of a role may be warming up
+// at once.
+const slowStartSpan = 20 * time.Second
+
 // slowStartPlaces is this node's part of what an engine may be sent within a window: a share of what the
 // engines of its role did for this node on average, removed ones too, which is what one can do at least.
 func (p *Policy) slowStartPlaces(e *engine, window time.Duration) float64 {
-	const span = 20 * time.Second // a node among many sends little, and all of a role may be warming up at once
-	done, alike := 0.0, 0.0
-	for _, other := range p.engines {
-		recent := p.countSince(other.progressTimes, span)
-		sameRole := other.canPrefill == e.canPrefill && other.canDecode == e.canDecode
-		if sameRole && (other.Ready || recent > 0) {
-			done, alike = done+recent, alike+1
-		}
-	}
+	rate := p.slowStartRate(e)
 	// 1.2: engines seldom do all that they can.
-	places := 1.2 * p.config.SlowStart.Share * p.config.SlowStart.Multiple * done / max(1, alike) *
-		float64(window) / float64(min(span, max(window, p.now-p.startedAt)))
+	places := 1.2 * p.config.SlowStart.Share * p.config.SlowStart.Multiple * rate.done / max(1, rate.engines) *
+		float64(window) / float64(min(slowStartSpan, max(window, p.now-p.startedAt)))
 	return places
 }
+
+// slowStartRates are what engines did for this node lately, by role. They hold until an engine makes progress, the
+// endpoint list changes, or the oldest progress that counts is over.
+type slowStartRates struct {
+	valid  bool
+	counts int // how often they were counted so far
+	until  time.Duration
+	byRole [roleCount]slowStartRate
+}
+
+// roleCount is how many roles there are: prefill, decode, both or none.
+const roleCount = 4
+
+// roleIndex numbers what an engine can do.
+func (e *engine) roleIndex() (index int) {
+	if e.canPrefill {
+		index++
+	}
+	if e.canDecode {
+		index += 2
+	}
+	return index
+}
+
+// slowStartRate is what the engines of a role did for this node.
+type slowStartRate struct{ done, engines float64 }
+
+// slowStartRate is that of an engine's role.
+func (p *Policy) slowStartRate(e *engine) slowStartRate {
+	if !p.slowStartRates.valid || p.now >= p.slowStartRates.until {
+		p.slowStartRates = p.countSlowStartRates()
+	}
+	return p.slowStartRates.byRole[e.roleIndex()]
+}
+
+// countSlowStartRates looks at all engines.
+func (p *Policy) countSlowStartRates() slowStartRates {
+	rates := slowStartRates{valid: true, counts: p.slowStartRates.counts + 1, until: math.MaxInt64}
+	for _, e := range p.ordered {
+		recent := p.countSince(e.progressTimes, slowStartSpan)
+		if recent > 0 {
+			oldest := e.progressTimes[len(e.progressTimes)-int(recent)]
+			rates.until = min(rates.until, oldest+slowStartSpan)
+		}
+		if e.Ready || recent > 0 {
+			rate := &rates.byRole[e.roleIndex()]
+			rate.done, rate.engines = rate.done+recent, rate.engines+1
+		}
+	}
+	return rates
+}
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -44,12 +42,23 @@
 	return n / float64(max(atLeast, len(samples)))
 }
 
-// countSince counts the times that are less than a span before now.
+// medianWithZeros is the median of some values that are not zero and some zeros.
+func medianWithZeros[T ~int64](nonZero []T, zeros int) T {
+	middle := (len(nonZero) + zeros) / 2
+	if middle < zeros || len(nonZero) == 0 {
+		return 0
+	}
+	slices.Sort(nonZero)
+	return nonZero[middle-zeros]
+}
+
+// countSince counts the times that are less than a span before now. They are in order.
 func (p *Policy) countSince(times []time.Duration, span time.Duration) (n float64) {
-	for _, at := range times {
-		if p.now-at < span {
-			n++
+	for _, at := range slices.Backward(times) {
+		if p.now-at >= span {
+			break
 		}
+		n++
 	}
 	return n
 }
@@ -82,56 +91,35 @@
 	return found
 }
 
-// find is the engine of an ID; nil if it is not among them.
+// find is the engine of an ID among engines in order of IDs; nil if it is not among them.
 func find(engines []*engine, id string) *engine {
-	for _, e := range engines {
-		if e.Engine == id {
-			return e
-		}
+	i, found := slices.BinarySearchFunc(engines, id, func(e *engine, id string) int { return cmp.Compare(e.Engine, id) })
+	if !found {
+		return nil
 	}
-	return nil
+	return engines[i]
 }
 
-// roundRobin takes turns among the engines that tie for the least by order.
-func (p *Policy) roundRobin(engines []*engine, order func(x, y *engine) int) *engine {
-	least := slices.MinFunc(engines, order)
-	var tied []*engine
-	for _, e := range engines {
-		if order(e, least) == 0 {
+// leastBy are the engines with the least cost, in their order.
+func leastBy[T cmp.Ordered](engines []*engine, cost func(*engine) T) (tied []*engine) {
+	var least T
+	for i, e := range engines {
+		c := cost(e)
+		switch {
+		case i == 0 || c < least:
+			least, tied = c, append(tied[:0], e)
+		case c == least:
 			tied = append(tied, e)
 		}
 	}
+	return tied
+}
+
+// nextTurn is the number of the next choice by turns.
+func (p *Policy) nextTurn() int {
 	if p.rotation == 0 {
 		p.rotation = int(p.random.next() * 1e6) // nodes that start together must not rotate in step
 	}
 	p.rotation++
-	return tied[p.rotation%len(tied)]
-}
-
-// randomSource is a sequence of random numbers that depends on nothing but its seed.
-type randomSource struct{ seed, draws uint64 }
-
-// next is the next number between 0 and 1.
-func (r *randomSource) next() float64 {
-	r.draws++
-	return float64(hash(fmt.Sprint(r.seed, r.draws))>>11) / (1 << 53)
-}
-
-// hash mixes the sum once more: texts that differ only in their last letters share its upper bits.
-func hash(text string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(text))
-	x := h.Sum64()
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
-
-// byHash sorts engines by a hash of ID and key, which is the same at all nodes.
-func byHash(key string, engines []*engine) []*engine {
-	sums := map[*engine]uint64{}
-	for _, e := range engines {
-		sums[e] = hash(key + e.Engine)
-	}
-	slices.SortFunc(engines, func(x, y *engine) int { return cmp.Compare(sums[x], sums[y]) })
-	return engines
+	return p.rotation
 }
