--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -31,7 +31,7 @@
 	const maxAge = 5 * time.Minute
 	most := 0.0
 	for _, text := range req.texts() {
-		if v, ok := p.cache.entries[cacheKey{text, e.Engine}]; ok && text.key != "" && p.now-v.at < maxAge {
+		if v, ok := p.cache.get(text, e.Engine); ok && text.key != "" && p.now-v.at < maxAge {
 			n := v.tokens
 			if !text.isSession {
 				n = min(n, req.PrefixTokens)
@@ -55,12 +55,12 @@
 func (p *Policy) cachingEngines(req *request, engines []*engine) (caching []*engine) {
 	seen := map[string]bool{}
 	for _, text := range req.texts() {
-		for _, holder := range p.cache.holders[text] {
-			if seen[holder] {
+		for _, entry := range p.cache.entries[text] {
+			if seen[entry.engine] {
 				continue
 			}
-			seen[holder] = true
-			if e := find(engines, holder); e != nil && p.cachedTokens(req, e) > 0 {
+			seen[entry.engine] = true
+			if e := find(engines, entry.engine); e != nil && p.cachedTokens(req, e) > 0 {
 				caching = append(caching, e)
 			}
 		}
@@ -71,7 +71,7 @@
 // recordCached notes what an engine caches after a prefill. If a prefix was not cached that should have been,
 // the engine has lost its cache: all that was cached before is dropped.
 func (p *Policy) recordCached(req *request, engine string, cachedTokens float64) {
-	known, ok := p.cache.entries[cacheKey{prefixText(req.Prefix), engine}]
+	known, ok := p.cache.get(prefixText(req.Prefix), engine)
 	if ok && req.Prefix != "" && cachedTokens < 0.5*min(known.tokens, req.PrefixTokens) {
 		p.cache.drop(engine, req.arrivedAt)
 	}
@@ -79,9 +79,9 @@
 		hit := int64(1e6 * max(0, cachedTokens-req.PrefixTokens) / rest)
 		p.cache.recentHits = appendBounded(p.cache.recentHits, hit, 64)
 	}
-	p.cache.put(sessionText(req.Session), engine, cacheEntry{req.PromptTokens, p.now})
+	p.cache.put(sessionText(req.Session), cacheEntry{engine, req.PromptTokens, p.now})
 	if req.Prefix != "" {
-		p.cache.put(prefixText(req.Prefix), engine, cacheEntry{req.PrefixTokens, p.now})
+		p.cache.put(prefixText(req.Prefix), cacheEntry{engine, req.PrefixTokens, p.now})
 	}
 	p.cache.evict(p.now)
 	p.affinities.evict(p.now)
--- a/internal/routing/fingerprint.go
+++ b/internal/routing/fingerprint.go
@@ -28,10 +28,11 @@
 			fmt.Fprintln(w, att)
 		}
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(p.cache.entries), func(x, y cacheKey) int {
-		return cmp.Or(cmp.Compare(x.key, y.key), cmp.Compare(x.engine, y.engine))
-	}) {
-		fmt.Fprintln(w, k, p.cache.entries[k].tokens, int64(p.now-p.cache.entries[k].at))
+	for _, engine := range slices.Sorted(maps.Keys(p.cache.texts)) {
+		for _, text := range slices.SortedFunc(slices.Values(p.cache.texts[engine]), cachedText.compare) {
+			entry, _ := p.cache.get(text, engine)
+			fmt.Fprintln(w, text, engine, entry.tokens, int64(p.now-entry.at))
+		}
 	}
 	for _, session := range slices.Sorted(maps.Keys(p.affinities)) {
 		a := p.affinities[session]
@@ -52,6 +53,11 @@
 		ago(e.unresponsiveAt), ago(e.healthyAt))
 }
 
+// compare orders texts.
+func (t cachedText) compare(other cachedText) int {
+	return cmp.Or(cmp.Compare(t.key, other.key), cmp.Compare(fmt.Sprint(t.isSession), fmt.Sprint(other.isSession)))
+}
+
 // ages are times relative to now, in nanoseconds.
 func (p *Policy) ages(times []time.Duration) (out []int64) {
 	for _, at := range times {
--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -1,22 +1,23 @@
 package routing
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
 	"time"
 )
 
-// prefixCache is what the prefill engines are thought to cache, with indexes by text and by engine.
+// prefixCache is what the prefill engines are thought to cache, by text and by engine.
 type prefixCache struct {
-	entries    map[cacheKey]cacheEntry
-	holders    map[cachedText][]string // engines that have an entry for a text
-	texts      map[string][]cachedText // that an engine has entries for
-	recentHits []int64                 // of the last prefills: millionths of what follows the prefix that were cached
+	entries    map[cachedText][]cacheEntry // in order of engines
+	texts      map[string][]cachedText     // that an engine has an entry for
+	count      int                         // of all entries
+	recentHits []int64                     // of the last prefills: millionths of what follows the prefix that were cached
 }
 
 func newPrefixCache() prefixCache {
-	return prefixCache{entries: map[cacheKey]cacheEntry{}, holders: map[cachedText][]string{}, texts: map[string][]cachedText{}}
+	return prefixCache{entries: map[cachedText][]cacheEntry{}, texts: map[string][]cachedText{}}
 }
 
 // cachedText names the text of a session, or a prefix.
@@ -25,14 +26,9 @@
 	key       string
 }
 
-// cacheKey is a text at one engine.
-type cacheKey struct {
-	cachedText
-	engine string
-}
-
-// cacheEntry is how much of a text is cached.
+// cacheEntry is how much of a text an engine caches.
 type cacheEntry struct {
+	engine string
 	tokens float64
 	at     time.Duration
 }
@@ -41,35 +37,49 @@
 
 func prefixText(prefix string) cachedText { return cachedText{false, prefix} }
 
-// put notes how much of a text an engine caches.
-func (c *prefixCache) put(text cachedText, engine string, entry cacheEntry) {
-	key := cacheKey{text, engine}
-	if _, known := c.entries[key]; !known {
-		c.index(key)
+// position is where the entry of an engine stands, or would, among those of a text.
+func (c *prefixCache) position(text cachedText, engine string) (position int, found bool) {
+	return slices.BinarySearchFunc(c.entries[text], engine, func(e cacheEntry, engine string) int { return cmp.Compare(e.engine, engine) })
+}
+
+// get is what an engine caches of a text.
+func (c *prefixCache) get(text cachedText, engine string) (entry cacheEntry, found bool) {
+	i, found := c.position(text, engine)
+	if !found {
+		return cacheEntry{}, false
 	}
-	c.entries[key] = entry
+	return c.entries[text][i], true
 }
 
-// index adds an entry to the indexes.
-func (c *prefixCache) index(key cacheKey) {
-	c.holders[key.cachedText] = append(c.holders[key.cachedText], key.engine)
-	c.texts[key.engine] = append(c.texts[key.engine], key.cachedText)
+// put notes how much of a text an engine caches.
+func (c *prefixCache) put(text cachedText, entry cacheEntry) {
+	i, found := c.position(text, entry.engine)
+	if found {
+		c.entries[text][i] = entry
+		return
+	}
+	c.entries[text] = slices.Insert(c.entries[text], i, entry)
+	c.texts[entry.engine] = append(c.texts[entry.engine], text)
+	c.count++
 }
 
 // hasSession is whether an engine is thought to cache any of a session.
 func (c *prefixCache) hasSession(session, engine string) bool {
-	return c.entries[cacheKey{sessionText(session), engine}].tokens > 0
+	entry, _ := c.get(sessionText(session), engine)
+	return entry.tokens > 0
 }
 
 // drop forgets what an engine was thought to cache before a time.
 func (c *prefixCache) drop(engine string, before time.Duration) {
 	kept := slices.DeleteFunc(c.texts[engine], func(text cachedText) bool {
-		key := cacheKey{text, engine}
-		if c.entries[key].at >= before {
+		i, _ := c.position(text, engine)
+		if c.entries[text][i].at >= before {
 			return false
 		}
-		delete(c.entries, key)
-		c.removeHolder(text, engine)
+		if c.entries[text] = slices.Delete(c.entries[text], i, i+1); len(c.entries[text]) == 0 {
+			delete(c.entries, text)
+		}
+		c.count--
 		return true
 	})
 	if c.texts[engine] = kept; len(kept) == 0 {
@@ -77,22 +87,13 @@
 	}
 }
 
-func (c *prefixCache) removeHolder(text cachedText, engine string) {
-	kept := slices.DeleteFunc(c.holders[text], func(holder string) bool { return holder == engine })
-	if c.holders[text] = kept; len(kept) == 0 {
-		delete(c.holders, text)
-	}
-}
-
+// evict forgets what is old where there is too much.
 func (c *prefixCache) evict(now time.Duration) {
-	if len(c.entries) <= maxEntries {
+	if c.count <= maxEntries {
 		return
 	}
-	maps.DeleteFunc(c.entries, func(_ cacheKey, v cacheEntry) bool { return now-v.at > evictAfter })
-	clear(c.holders)
-	clear(c.texts)
-	for key := range c.entries {
-		c.index(key)
+	for engine := range c.texts {
+		c.drop(engine, now-evictAfter)
 	}
 }
 
@@ -125,7 +126,7 @@
 		return
 	}
 	p.affinities[session] = affinity{prefillEngine, decodeEngine, p.now}
-	p.cache.put(sessionText(session), prefillEngine, cacheEntry{tokens, p.now})
+	p.cache.put(sessionText(session), cacheEntry{prefillEngine, tokens, p.now})
 }
 
 // gossipAffinity tells the other nodes where a session was served, as its next request may come to any of
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -113,16 +113,25 @@
 
 // startTimer asks for a trigger of a request after a while.
 func (p *Policy) startTimer(requestID int64, trigger trigger, after time.Duration) {
-	p.act(StartTimer{p.timers.add(timer{requestID, trigger}), after})
+	token := p.timers.add(timer{requestID, trigger})
+	if req := p.requests[requestID]; req != nil {
+		req.timers = append(req.timers, token)
+	}
+	p.act(StartTimer{token, after})
 }
 
 // route is the configuration of a request's route.
 func (p *Policy) route(req *request) Route { return p.config.route(req.Route) }
 
-// forgetIfDone drops a request that has ended and has no attempt in flight.
+// forgetIfDone drops a request that has ended and has no attempt in flight, and its timers: they may be due much
+// later.
 func (p *Policy) forgetIfDone(req *request) {
-	if req.state == ended && !req.inFlight() {
-		delete(p.requests, req.RequestID)
+	if req.state != ended || req.inFlight() {
+		return
+	}
+	delete(p.requests, req.RequestID)
+	for _, token := range req.timers {
+		delete(p.timers.pending, token)
 	}
 }
 
--- a/internal/routing/prefill.go
+++ b/internal/routing/prefill.go
@@ -184,8 +184,8 @@
 
 // sessionCachedIn is whether one of some engines, in order of IDs, is thought to cache any of a session.
 func (p *Policy) sessionCachedIn(session string, engines []*engine) bool {
-	return slices.ContainsFunc(p.cache.holders[sessionText(session)], func(holder string) bool {
-		return p.cache.hasSession(session, holder) && find(engines, holder) != nil
+	return slices.ContainsFunc(p.cache.entries[sessionText(session)], func(entry cacheEntry) bool {
+		return entry.tokens > 0 && find(engines, entry.engine) != nil
 	})
 }
 
--- a/internal/routing/reference_test.go
+++ b/internal/routing/reference_test.go
@@ -60,20 +60,23 @@
 
 func checkCacheIndexes(t *rapid.T, p *Policy) {
 	t.Helper()
-	holders, texts := 0, 0
-	for key := range p.cache.entries {
-		if !slices.Contains(p.cache.holders[key.cachedText], key.engine) || !slices.Contains(p.cache.texts[key.engine], key.cachedText) {
-			t.Fatalf("%v is in no index", key)
+	entries, texts := 0, 0
+	for text, cached := range p.cache.entries {
+		entries += len(cached)
+		if !slices.IsSortedFunc(cached, func(a, b cacheEntry) int { return cmp.Compare(a.engine, b.engine) }) {
+			t.Fatalf("%v is not in order of engines: %v", text, cached)
+		}
+		for _, entry := range cached {
+			if !slices.Contains(p.cache.texts[entry.engine], text) {
+				t.Fatalf("%v at %s is not in the index", text, entry.engine)
+			}
 		}
 	}
-	for _, engines := range p.cache.holders {
-		holders += len(engines)
-	}
 	for _, cached := range p.cache.texts {
 		texts += len(cached)
 	}
-	if holders != len(p.cache.entries) || texts != len(p.cache.entries) {
-		t.Fatalf("%d entries, %d and %d in the indexes", len(p.cache.entries), holders, texts)
+	if entries != p.cache.count || texts != p.cache.count {
+		t.Fatalf("%d entries, %d in the index, %d counted", entries, texts, p.cache.count)
 	}
 }
 
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -18,6 +18,7 @@
 	idleSince      time.Duration // when the last outcome came, or the prefill ended
 	retryScheduled bool
 	awaitedEngines []string // engines whose health checks it waits for
+	timers         []int64  // tokens of all that were started for it
 }
 
 // attempt is one send of a request to an engine.
