Core: an endpoint list costs what it has entries, a release looks at few engines

Change: positions of engines by ID, renewed where the list's engines change; known engines by the number of the last list that had them; a first release looks at the engines with an idle connection, later ones at those that answered. NoteAll had no caller left; its test now asks Note for the same.

--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -65,7 +65,8 @@
 
 func TestUnavailableSince(t *testing.T) {
 	unavailable := UnavailableSince{}
-	unavailable.NoteAll(map[string]bool{"a": true}, []string{"a", "b"}, 5)
+	unavailable.Note("a", true, 5)
+	unavailable.Note("b", false, 5)
 	unavailable.Note("b", false, 9)
 	if unavailable["a"] != 0 || unavailable["b"] != 5 {
 		t.Errorf("%v: the first notification of a drain has to count", unavailable)
--- a/internal/attempt/unavailable.go
+++ b/internal/attempt/unavailable.go
@@ -12,10 +12,3 @@
 		u[engine] = now
 	}
 }
-
-// NoteAll records an endpoint list: a known engine that is not ready in it is unavailable.
-func (u UnavailableSince) NoteAll(ready map[string]bool, known []string, now int64) {
-	for _, engine := range known {
-		u.Note(engine, ready[engine], now)
-	}
-}
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -64,6 +64,8 @@
 // settings do not name cannot be sent to; their IDs are returned.
 func (d *Deployment) EndpointUpdate(list endpoint.List) (update routing.EndpointUpdate, unknown []string) {
 	update.Complete = true
+	update.Engines = make([]routing.Endpoint, 0, len(list.Entries))
+	zones := d.zones()
 	for _, e := range list.Entries {
 		kind := slices.IndexFunc(d.Kinds, func(k EngineKind) bool { return k.Name == e.Kind })
 		if kind < 0 {
@@ -71,16 +73,16 @@
 			continue
 		}
 		update.Engines = append(update.Engines, routing.Endpoint{Engine: e.ID, Weight: e.Weight, Kind: kind,
-			Zone: d.zoneIndex(e.Zone), Cell: placeID(e.Zone + "/" + e.Cell),
+			Zone: zoneIndex(zones, e.Zone), Cell: placeID(e.Zone + "/" + e.Cell),
 			StartedAt: time.Duration(e.StartedAtMs) * time.Millisecond,
 			Ready:     e.State == endpoint.Ready, Draining: e.State == endpoint.Draining})
 	}
 	return update, unknown
 }
 
-// zoneIndex is the zone's index in the settings, or the number that its name gives.
-func (d *Deployment) zoneIndex(zone string) int {
-	if i := slices.Index(d.zones(), zone); i >= 0 {
+// zoneIndex is the zone's index among those of the settings, or the number that its name gives.
+func zoneIndex(zones []string, zone string) int {
+	if i := slices.Index(zones, zone); i >= 0 {
 		return i
 	}
 	return placeID(zone)
--- a/internal/connpool/acquire.go
+++ b/internal/connpool/acquire.go
@@ -91,6 +91,16 @@
 	return c.id
 }
 
+// ReusableEngines lists, in no order, the engines to which Acquire would reuse a connection.
+func (p *Pool) ReusableEngines(now int64, maxIdle time.Duration) (engines []string) {
+	for engine := range p.byEngine {
+		if p.HasReusable(engine, now, maxIdle) {
+			engines = append(engines, engine)
+		}
+	}
+	return engines
+}
+
 // HasReusable reports whether Acquire would reuse a connection to an engine.
 func (p *Pool) HasReusable(engine string, now int64, maxIdle time.Duration) bool {
 	return slices.ContainsFunc(p.byEngine[engine], func(c *connection) bool {
--- a/internal/discovery/catalog/catalog.go
+++ b/internal/discovery/catalog/catalog.go
@@ -18,7 +18,9 @@
 type Catalog struct {
 	generation    int64
 	entries       map[string]endpoint.Entry // by ID; nil before the first snapshot
-	needsSnapshot bool                      // discovery's history is another one than that of the entries
+	ids           []string                  // of the entries, sorted; renewed by List where idsStale is set
+	idsStale      bool
+	needsSnapshot bool // discovery's history is another one than that of the entries
 }
 
 // Update is what a response has brought.
@@ -54,7 +56,7 @@
 func (c *Catalog) applySnapshot(r *response) Update {
 	before, lastGeneration := c.entries, c.generation
 	c.generation, c.needsSnapshot = r.Generation, false
-	c.entries = map[string]endpoint.Entry{}
+	c.entries, c.idsStale = map[string]endpoint.Entry{}, true
 	invalid := c.applyInstances(r)
 	changed := before == nil || c.generation != lastGeneration || !maps.Equal(before, c.entries)
 	return Update{Changed: changed, Invalid: invalid}
@@ -68,10 +70,14 @@
 		case !in.valid():
 			invalid = append(invalid, in.ID)
 			delete(c.entries, in.ID)
+			c.idsStale = true
 		case in.Lifecycle == deleted:
 			delete(c.entries, in.ID)
+			c.idsStale = true
 		default:
+			known := len(c.entries)
 			c.entries[in.ID] = in.entry()
+			c.idsStale = c.idsStale || len(c.entries) > known
 		}
 	}
 	return invalid
@@ -79,8 +85,11 @@
 
 // List is the present list, sorted by ID.
 func (c *Catalog) List() endpoint.List {
-	list := endpoint.List{Revision: c.generation, Entries: []endpoint.Entry{}}
-	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
+	if c.idsStale {
+		c.ids, c.idsStale = slices.Sorted(maps.Keys(c.entries)), false
+	}
+	list := endpoint.List{Revision: c.generation, Entries: make([]endpoint.Entry, 0, len(c.ids))}
+	for _, id := range c.ids {
 		list.Entries = append(list.Entries, c.entries[id])
 	}
 	return list
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -25,11 +25,13 @@
 // endpointState is the endpoint list, and what is known of the engines that are or were in it.
 type endpointState struct {
 	current        *endpoint.List // nil until the first one comes
+	positions      map[string]int // in the entries of current, by engine
 	history        listHistory
 	starts         engineStarts
 	drains         attempt.UnavailableSince
-	known          []string         // all engines that are listed, or were not long ago
-	lastResponseAt map[string]int64 // when an engine's last answer began
+	lists          uint64            // how many have come
+	listedIn       map[string]uint64 // the last list that had an engine; of all that are listed, or were not long ago
+	lastResponseAt map[string]int64  // when an engine's last answer began
 }
 
 // listHistory finds lists that are older than one that came before.
@@ -40,17 +42,33 @@
 }
 
 func newEndpointState() endpointState {
-	return endpointState{drains: attempt.UnavailableSince{}, lastResponseAt: map[string]int64{}}
+	return endpointState{positions: map[string]int{}, drains: attempt.UnavailableSince{}, listedIn: map[string]uint64{},
+		lastResponseAt: map[string]int64{}}
+}
+
+// setCurrent makes a list the present one.
+func (e *endpointState) setCurrent(list *endpoint.List) {
+	sameEngines := e.current != nil && slices.EqualFunc(e.current.Entries, list.Entries, func(a, b endpoint.Entry) bool { return a.ID == b.ID })
+	e.current = list
+	if sameEngines {
+		return
+	}
+	clear(e.positions)
+	for i := len(list.Entries) - 1; i >= 0; i-- { // of two entries of one engine the first counts
+		e.positions[list.Entries[i].ID] = i
+	}
+}
+
+// isListed is whether an engine is in the present list.
+func (e *endpointState) isListed(engine string) bool {
+	_, listed := e.positions[engine]
+	return listed
 }
 
 // find is what the list says of an engine; the zero entry for one that is not in it.
 func (e *endpointState) find(engine string) endpoint.Entry {
-	if e.current != nil {
-		for _, entry := range e.current.Entries {
-			if entry.ID == engine {
-				return entry
-			}
-		}
+	if i, listed := e.positions[engine]; listed {
+		return e.current.Entries[i]
 	}
 	return endpoint.Entry{}
 }
@@ -89,26 +107,25 @@
 
 // noteEngines updates what is known of engines from those that are listed now, and forgets those that left long ago.
 func (e *endpointState) noteEngines(listed []routing.Endpoint, now int64) {
-	ready := make(map[string]bool, len(listed))
-	for _, engine := range listed {
-		ready[engine.Engine] = engine.Ready
-		if !slices.Contains(e.known, engine.Engine) {
-			e.known = append(e.known, engine.Engine)
-		}
-	}
-	e.drains.NoteAll(ready, e.known, now)
-	departed := func(engine string, since int64) bool {
-		_, isListed := ready[engine]
-		return !isListed && now-since > departedRetention
+	e.lists++
+	for i := range listed {
+		engine := &listed[i]
+		e.listedIn[engine.Engine] = e.lists
+		e.drains.Note(engine.Engine, engine.Ready, now)
 	}
-	e.known = slices.DeleteFunc(e.known, func(engine string) bool {
-		if !departed(engine, e.drains[engine]) {
-			return false
+	for engine, list := range e.listedIn {
+		if list == e.lists {
+			continue
 		}
-		delete(e.drains, engine)
-		return true
+		e.drains.Note(engine, false, now)
+		if now-e.drains[engine] > departedRetention {
+			delete(e.listedIn, engine)
+			delete(e.drains, engine)
+		}
+	}
+	maps.DeleteFunc(e.lastResponseAt, func(engine string, at int64) bool {
+		return e.listedIn[engine] != e.lists && now-at > departedRetention
 	})
-	maps.DeleteFunc(e.lastResponseAt, departed)
 }
 
 // UpdateEndpoints handles a new endpoint list.
@@ -117,7 +134,7 @@
 	list.Entries = r.endpoints.starts.normalize(list.Entries, r.now)
 	update, unknown := r.config.EndpointUpdate(list)
 	r.endpoints.noteEngines(update.Engines, r.now)
-	r.endpoints.current = &list
+	r.endpoints.setCurrent(&list)
 	r.closeMovedConnections()
 	r.observer.EndpointsUpdated(list.Revision, len(update.Engines), unknown)
 	r.notifyPolicy(update)
@@ -133,16 +150,12 @@
 // closeMovedConnections closes the idle connections to addresses that their engines have left: another engine may listen
 // there by now. Those that carry something are closed after it.
 func (r *Router) closeMovedConnections() {
-	addresses := map[string]string{}
-	for _, entry := range r.endpoints.current.Entries {
-		addresses[entry.ID] = cmp.Or(entry.Address, entry.ID)
-	}
 	for _, id := range r.connections.IDs() {
 		conn := r.connections.byID[id]
-		if conn == nil {
+		if conn == nil || !r.endpoints.isListed(conn.Engine) {
 			continue
 		}
-		if address, listed := addresses[conn.Engine]; listed && address != conn.Address && r.connections.State(id) == connpool.Idle {
+		if r.endpoints.target(conn.Engine).Address != conn.Address && r.connections.State(id) == connpool.Idle {
 			r.connections.Handle(id, connpool.IdleExpired, r.now)
 			r.closeConnection(id)
 		}
--- a/internal/router/engine_starts.go
+++ b/internal/router/engine_starts.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sandcourse/internal/endpoint"
@@ -31,23 +33,21 @@
 
 // normalize returns the entries with their starts by the router's clock, and forgets engines that left long ago.
 func (s *engineStarts) normalize(entries []endpoint.Entry, now int64) []endpoint.Entry {
-	next := make(map[string]engineStart, len(entries))
-	normalized := make([]endpoint.Entry, len(entries))
-	for i, entry := range entries {
+	if s.byEngine == nil {
+		s.byEngine = make(map[string]engineStart, len(entries))
+	}
+	normalized := slices.Clone(entries)
+	for i := range normalized {
+		entry := &normalized[i]
 		if entry.StartedAtMs > 0 {
-			start := s.startOf(entry, now)
+			start := s.startOf(*entry, now)
 			start.listedAt = now
-			next[entry.ID] = start
+			s.byEngine[entry.ID] = start
 			entry.StartedAtMs = start.at / nanosPerMilli
 		}
-		normalized[i] = entry
-	}
-	for engine, start := range s.byEngine {
-		if _, listed := next[engine]; !listed && now-start.listedAt <= departedRetention {
-			next[engine] = start
-		}
 	}
-	s.byEngine, s.initialized = next, true
+	maps.DeleteFunc(s.byEngine, func(_ string, start engineStart) bool { return now-start.listedAt > departedRetention })
+	s.initialized = true
 	return normalized
 }
 
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -13,4 +13,4 @@
 }
 
 // KnownEngines is how many engines the router remembers.
-func (r *Router) KnownEngines() int { return max(len(r.endpoints.known), len(r.endpoints.drains)) }
+func (r *Router) KnownEngines() int { return max(len(r.endpoints.listedIn), len(r.endpoints.drains)) }
--- a/internal/router/reservations.go
+++ b/internal/router/reservations.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"sandcourse/internal/attempt"
 	"sandcourse/internal/config"
@@ -112,43 +111,83 @@
 	if !r.protocol.ReleaseReachesAllEngines() || r.endpoints.current == nil {
 		return []string{reserved.Engine}
 	}
-	engines := r.releaseCandidates(reserved)
+	return r.anyEngineTargets(reserved, first)
+}
+
+// anyEngineTargets are those of a release that any engine handles.
+func (r *Router) anyEngineTargets(reserved *reservation.Reservation, first bool) []string {
 	if !first {
-		return engines[:min(parallelReleases, len(engines))]
+		return r.releaseCandidates(reserved, parallelReleases)
 	}
 	// A new connection for each release would cost too much.
-	connected := slices.IndexFunc(engines, func(engine string) bool {
-		return engine != reserved.Engine && r.connections.HasReusable(engine, r.now, r.config.Connections.IdleTimeout)
-	})
+	candidates, connected := r.releaseCandidates(reserved, 1), r.lastAnsweringConnected(reserved.Engine)
 	switch {
-	case connected < 0:
-		return engines[:min(1, len(engines))]
-	case engines[0] != reserved.Engine:
-		return engines[connected : connected+1]
+	case connected == "":
+		return candidates
+	case !r.endpoints.isListed(reserved.Engine):
+		return []string{connected}
+	}
+	return []string{reserved.Engine, connected}
+}
+
+// lastAnsweringConnected is the engine, of those other than one that an idle connection is open to, that answered last; empty
+// where there is none.
+func (r *Router) lastAnsweringConnected(except string) (last string) {
+	for _, engine := range r.connections.ReusableEngines(r.now, r.config.Connections.IdleTimeout) {
+		if engine != except && r.endpoints.isListed(engine) && (last == "" || r.endpoints.answeredLater(engine, last)) {
+			last = engine
+		}
 	}
-	return []string{reserved.Engine, engines[connected]}
+	return last
+}
+
+// answeredLater is whether an engine answered later than another. Of two that answered at once, or never, the first by ID
+// counts as later.
+func (e *endpointState) answeredLater(engine, other string) bool {
+	return cmp.Or(cmp.Compare(e.lastResponseAt[other], e.lastResponseAt[engine]), cmp.Compare(engine, other)) < 0
 }
 
-// releaseCandidates are the listed engines that the release has not gone to yet; once it has gone to all, it starts over. The
-// engine that holds the reservation comes first, then those that answered last.
-func (r *Router) releaseCandidates(reserved *reservation.Reservation) []string {
-	entries := r.endpoints.current.Entries
-	if len(reserved.ReleaseTargets) >= len(entries) {
+// releaseCandidates are the next listed engines that the release has not gone to yet; once it has gone to all, it starts over.
+// The engine that holds the reservation comes first, then those that answered last.
+func (r *Router) releaseCandidates(reserved *reservation.Reservation, count int) (candidates []string) {
+	if len(reserved.ReleaseTargets) >= len(r.endpoints.current.Entries) {
 		reserved.ReleaseTargets = reserved.ReleaseTargets[:0]
 	}
-	var engines []string
-	for _, entry := range entries {
-		if !slices.Contains(reserved.ReleaseTargets, entry.ID) {
-			engines = append(engines, entry.ID)
+	passed := map[string]bool{} // that the release has gone to, or that are candidates already
+	for _, engine := range reserved.ReleaseTargets {
+		passed[engine] = true
+	}
+	for len(candidates) < count {
+		next := r.nextReleaseCandidate(reserved.Engine, passed)
+		if next == "" {
+			break
+		}
+		passed[next] = true
+		candidates = append(candidates, next)
+	}
+	return candidates
+}
+
+// nextReleaseCandidate is the first listed engine that is not passed; empty where there is none.
+func (r *Router) nextReleaseCandidate(holder string, passed map[string]bool) (next string) {
+	isCandidate := func(engine string) bool { return !passed[engine] && r.endpoints.isListed(engine) }
+	if isCandidate(holder) {
+		return holder
+	}
+	for engine := range r.endpoints.lastResponseAt {
+		if isCandidate(engine) && (next == "" || r.endpoints.answeredLater(engine, next)) {
+			next = engine
 		}
 	}
-	slices.SortStableFunc(engines, func(a, b string) int {
-		return cmp.Compare(r.endpoints.lastResponseAt[b], r.endpoints.lastResponseAt[a])
-	})
-	if i := slices.Index(engines, reserved.Engine); i >= 0 {
-		engines = slices.Insert(slices.Delete(engines, i, i+1), 0, reserved.Engine)
+	if next != "" {
+		return next
+	}
+	for _, entry := range r.endpoints.current.Entries { // those that never answered
+		if !passed[entry.ID] {
+			return entry.ID
+		}
 	}
-	return engines
+	return ""
 }
 
 // releaseAcknowledged handles an engine's acknowledgement of a release.
