--- a/internal/routing/memory.go
+++ b/internal/routing/memory.go
@@ -63,12 +63,6 @@
 	c.count++
 }
 
-// hasSession is whether an engine is thought to cache any of a session.
-func (c *prefixCache) hasSession(session, engine string) bool {
-	entry, _ := c.get(sessionText(session), engine)
-	return entry.tokens > 0
-}
-
 // drop forgets what an engine was thought to cache before a time.
 func (c *prefixCache) drop(engine string, before time.Duration) {
 	kept := slices.DeleteFunc(c.texts[engine], func(text cachedText) bool {
