Edge: what engines send is handled before what clients ask

Callers saw the end of a stream more than a second after its engine had ended it. Within a lane the order stays, so a connection's events do. Engines and clients have half of the queue's bytes each. A task knows when it was brought and when the process was last known to run, so deadlines of requests no longer start at the owner's turn before the last. The metric of delays tells the lanes apart.

--- a/internal/edge/client_connection.go
+++ b/internal/edge/client_connection.go
@@ -90,7 +90,7 @@
 func (c *clientConnection) CloseIfIdle() bool {
 	tasks, ok := c.decideClose()
 	for _, t := range tasks {
-		c.edge.inbox.put(0, t.run) // weight 0: the owner must not wait for itself
+		c.edge.inbox.put(clientLane, 0, t.run) // weight 0: the owner must not wait for itself
 	}
 	if !ok {
 		return false
@@ -132,7 +132,7 @@
 			c.edge.reach(RequestParsed)
 		}
 		for _, t := range tasks {
-			c.edge.inbox.put(t.weight, t.run)
+			c.edge.inbox.put(clientLane, t.weight, t.run)
 		}
 		if err != nil {
 			c.conn.Close()
--- a/internal/edge/client_side.go
+++ b/internal/edge/client_side.go
@@ -91,7 +91,7 @@
 	conn.SetSession(c)
 	s.limit.acquire(conn)
 	e.sessions.publish()
-	e.inbox.put(0, func() { e.router.ClientOpened(c.state) })
+	e.inbox.put(clientLane, 0, func() { e.router.ClientOpened(c.state) })
 }
 
 func (s *clientSide) closed(conn *nbio.Conn, _ error) {
@@ -99,7 +99,7 @@
 	e.sessions.acquire()
 	if c, ok := conn.Session().(*clientConnection); ok {
 		s.limit.release(conn)
-		e.inbox.put(0, func() { e.router.ClientDisconnected(c.state) })
+		e.inbox.put(clientLane, 0, func() { e.router.ClientDisconnected(c.state) })
 	}
 }
 
--- a/internal/edge/delay_report.go
+++ b/internal/edge/delay_report.go
@@ -6,15 +6,6 @@
 	"go.uber.org/zap"
 )
 
-// taskKind is what a task of the inbox is about. The values are labels of metrics.
-type taskKind string
-
-// The kinds of tasks.
-const (
-	listTask    taskKind = "list"    // an endpoint list
-	requestTask taskKind = "request" // everything else
-)
-
 // LogOwnerLate is the log message of an edge whose events wait for too long.
 const LogOwnerLate = "events wait for the owner"
 
@@ -29,7 +20,7 @@
 type delayReport struct {
 	edge     *Edge
 	longest  time.Duration // since the last log line
-	kind     taskKind      // of the task that waited longest
+	lane     lane          // of the task that waited longest
 	late     int           // tasks that waited for longer than lateDelay since the last log line
 	loggedAt int64
 }
@@ -37,15 +28,15 @@
 func newDelayReport(e *Edge) delayReport { return delayReport{edge: e} }
 
 // note records how long a task has waited that is run now.
-func (r *delayReport) note(kind taskKind, now, queuedAt int64) {
+func (r *delayReport) note(in lane, now, queuedAt int64) {
 	delay := time.Duration(max(0, now-queuedAt))
-	r.edge.metrics.ownerDelay.WithLabelValues(string(kind)).Observe(delay.Seconds())
+	r.edge.metrics.ownerDelay.WithLabelValues(laneNames[in]).Observe(delay.Seconds())
 	if int64(delay) < lateDelay {
 		return
 	}
 	r.late++
 	if delay > r.longest {
-		r.longest, r.kind = delay, kind
+		r.longest, r.lane = delay, in
 	}
 }
 
@@ -54,7 +45,7 @@
 	if r.late == 0 || now-r.loggedAt < lateLogInterval {
 		return
 	}
-	r.edge.log.Warn(LogOwnerLate, zap.Duration("longest", r.longest), zap.String("kind", string(r.kind)), zap.Int("late", r.late),
+	r.edge.log.Warn(LogOwnerLate, zap.Duration("longest", r.longest), zap.String("kind", laneNames[r.lane]), zap.Int("late", r.late),
 		zap.Int("requests", r.edge.router.InFlight().Requests))
 	r.loggedAt, r.late, r.longest = now, 0, 0
 }
--- a/internal/edge/drain.go
+++ b/internal/edge/drain.go
@@ -27,7 +27,7 @@
 // ends, the rest gets its error. Then the edge stops. The error says that requests were abandoned.
 func (e *Edge) Drain(ctx context.Context) error {
 	e.log.Info("draining", zap.Duration("linger", e.deployment.ShutdownAcceptTime))
-	e.inbox.put(0, func() { e.router.Shutdown() })
+	e.inbox.put(clientLane, 0, func() { e.router.Shutdown() })
 	ctx, cancel := context.WithTimeout(ctx, e.deployment.ShutdownTimeout)
 	defer cancel()
 	err := e.awaitRequests(ctx)
@@ -59,7 +59,7 @@
 // abandonRequests gives all open requests their error.
 func (e *Edge) abandonRequests() {
 	finished := make(chan struct{})
-	e.inbox.put(0, func() {
+	e.inbox.put(clientLane, 0, func() {
 		defer close(finished)
 		e.router.AbandonAll(router.ReasonShuttingDown)
 		e.router.RunDue(e.clock())
--- a/internal/edge/engine_connection.go
+++ b/internal/edge/engine_connection.go
@@ -53,7 +53,7 @@
 	c.bytesToWrite = int64(len(request))
 	_, err := c.conn.Write(request)
 	if err != nil { // it may have closed before its session was set
-		c.edge.inbox.put(0, func() { c.edge.router.EngineDisconnected(c.state) })
+		c.edge.inbox.put(engineLane, 0, func() { c.edge.router.EngineDisconnected(c.state) })
 	}
 	return err
 }
@@ -100,7 +100,7 @@
 		}
 	}
 	if err != nil {
-		c.edge.inbox.put(1, func() { c.edge.router.ResponseInvalid(c.state, err) })
+		c.edge.inbox.put(engineLane, 1, func() { c.edge.router.ResponseInvalid(c.state, err) })
 	}
 }
 
@@ -112,11 +112,11 @@
 	if chat.IsEventStream(head.Header) {
 		c.streamDecoder, c.relay = chat.NewDecoder(maxStreamEvent), &tokenRelay{frame: e.protocol.StreamEvent}
 		c.streamDecoder.OnComment = func(text []byte) {
-			e.inbox.put(1+len(text), func() { e.router.StreamComment(c.state, text) })
+			e.inbox.put(engineLane, 1+len(text), func() { e.router.StreamComment(c.state, text) })
 		}
 		tokens = c.relay
 	}
-	e.inbox.put(1, func() { e.router.ResponseHead(c.state, head, tokens) })
+	e.inbox.put(engineLane, 1, func() { e.router.ResponseHead(c.state, head, tokens) })
 }
 
 // handleBody takes a part of a response's body.
@@ -136,7 +136,7 @@
 	if !e.protocol.IsFinalEvent(event) && c.relay.forward(event, e.clock()) {
 		return
 	}
-	e.inbox.put(1+len(event), func() { e.router.StreamEvent(c.state, event) })
+	e.inbox.put(engineLane, 1+len(event), func() { e.router.StreamEvent(c.state, event) })
 }
 
 // handleEnd ends a response. The connection is clean, and can carry a further request, where nothing follows: a complete
@@ -144,5 +144,5 @@
 func (c *engineConnection) handleEnd(lastPiece bool) {
 	body, clean := c.body, lastPiece && c.parser.AtBoundary() && !c.closeAnnounced
 	c.body = nil
-	c.edge.inbox.put(1, func() { c.edge.router.ResponseComplete(c.state, body, clean) })
+	c.edge.inbox.put(engineLane, 1, func() { c.edge.router.ResponseComplete(c.state, body, clean) })
 }
--- a/internal/edge/engine_side.go
+++ b/internal/edge/engine_side.go
@@ -54,10 +54,10 @@
 	e.goroutines.Go(func() {
 		c, err := e.engines.connect(state)
 		if err != nil {
-			e.inbox.put(0, func() { e.router.EngineConnected(state, nil, err) })
+			e.inbox.put(engineLane, 0, func() { e.router.EngineConnected(state, nil, err) })
 			return
 		}
-		e.inbox.put(0, func() { e.router.EngineConnected(state, c, nil) })
+		e.inbox.put(engineLane, 0, func() { e.router.EngineConnected(state, c, nil) })
 	})
 }
 
@@ -123,7 +123,7 @@
 	e := s.edge
 	e.sessions.acquire()
 	if c, ok := conn.Session().(*engineConnection); ok {
-		e.inbox.put(0, func() { e.router.EngineDisconnected(c.state) })
+		e.inbox.put(engineLane, 0, func() { e.router.EngineDisconnected(c.state) })
 	}
 }
 
--- a/internal/edge/export_test.go
+++ b/internal/edge/export_test.go
@@ -12,11 +12,11 @@
 )
 
 // PauseOwner keeps the owner from doing anything for a time, as a loaded machine does.
-func (e *Edge) PauseOwner(d time.Duration) { e.inbox.put(0, func() { time.Sleep(d) }) }
+func (e *Edge) PauseOwner(d time.Duration) { e.inbox.put(clientLane, 0, func() { time.Sleep(d) }) }
 
 // PanicOn makes the policy panic on events that fit.
 func (e *Edge) PanicOn(fits func(routing.Event) bool) {
-	e.inbox.put(0, func() {
+	e.inbox.put(clientLane, 0, func() {
 		e.decisionHook = func(in routing.Event) {
 			if fits(in) {
 				panic("a fault put in by a test")
@@ -25,6 +25,13 @@
 	})
 }
 
+// OnDecision calls f before each step of the policy.
+func (e *Edge) OnDecision(f func(routing.Event)) {
+	done := make(chan struct{})
+	e.inbox.put(clientLane, 0, func() { e.decisionHook = f; close(done) })
+	<-done
+}
+
 // OnSyncPoint calls f whenever a goroutine reaches a sync point. It is called before Start.
 func (e *Edge) OnSyncPoint(f func(SyncPoint)) { e.syncPointHook = f }
 
@@ -32,16 +39,20 @@
 func (e *Edge) QueuedTasks() int {
 	e.inbox.mu.Lock()
 	defer e.inbox.mu.Unlock()
-	return len(e.inbox.tasks)
+	count := 0
+	for i := range e.inbox.lanes {
+		count += len(e.inbox.lanes[i].tasks)
+	}
+	return count
 }
 
 // UrgentPending is whether an endpoint list waits for the owner.
-func (e *Edge) UrgentPending() bool { return e.inbox.hasUrgent.Load() }
+func (e *Edge) UrgentPending() bool { return e.inbox.isWaiting(listLane) }
 
 // BlockOwner keeps the owner at one task until the returned function is called.
 func (e *Edge) BlockOwner() (release func()) {
 	reached, free := make(chan struct{}), make(chan struct{})
-	e.inbox.put(0, func() { close(reached); <-free })
+	e.inbox.put(clientLane, 0, func() { close(reached); <-free })
 	<-reached
 	return func() { close(free) }
 }
--- a/internal/edge/gossip.go
+++ b/internal/edge/gossip.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		text := string(buffer[:size])
-		e.inbox.put(size, func() { e.router.ReceivePeerMessage(sender, text) })
+		e.inbox.put(clientLane, size, func() { e.router.ReceivePeerMessage(sender, text) })
 	}
 }
 
--- a/internal/edge/inbox.go
+++ b/internal/edge/inbox.go
@@ -5,58 +5,73 @@
 	"sync/atomic"
 )
 
+// lane is what a task is about, and so how soon the owner runs it: an earlier lane goes first.
+type lane uint8
+
+// The lanes of an inbox. Within a lane tasks keep their order.
+const (
+	listLane   lane = iota // endpoint lists: the time within which a drain has to be respected begins when it is notified
+	engineLane             // what engines send, and the ends of dials and of connections to them
+	clientLane             // what clients send, and all the rest
+	laneCount
+)
+
+// laneNames are labels of metrics.
+var laneNames = [laneCount]string{listLane: "list", engineLane: "engine", clientLane: "client"}
+
 // queuedTask is a task that waits for the owner.
 type queuedTask struct {
 	run      func()
 	queuedAt int64 // when it was brought, also where it then waited for capacity
+	// happenedAfter is when the process is known to have been run before the task was brought: where it is not run for a
+	// while, what a task is about may have happened at any time since.
+	happenedAfter int64
 }
 
-// inbox is the bounded queue of tasks from the sockets to the owner. Who brings bytes waits while it is full, which slows
-// the sockets down; what must not wait, such as the end of a connection, comes at most once a connection or is made by
+// inbox is the bounded queue of tasks from the sockets to the owner. Who brings bytes waits while their lane is full, which
+// slows the sockets down; what must not wait, such as the end of a connection, comes at most once a connection or is made by
 // the owner itself.
 type inbox struct {
-	clock     func() int64
-	wake      chan struct{} // holds one item while something waits
-	hasUrgent atomic.Bool   // urgent is not empty
+	clock    func() int64
+	wake     chan struct{} // holds one item while something waits
+	lastTurn atomic.Int64  // when the owner began its turn before the present one
+
+	mu     sync.Mutex
+	lanes  [laneCount]queue
+	closed bool
+}
 
-	mu           sync.Mutex
-	capacity     *sync.Cond // there may be some again, or the inbox is closed
-	tasks        []queuedTask
-	urgent       []queuedTask // run before all tasks that wait
-	queuedWeight int
-	maxWeight    int
-	closed       bool
+// queue is one lane of an inbox.
+type queue struct {
+	capacity  *sync.Cond // there may be some again, or the inbox is closed
+	waiting   atomic.Bool
+	tasks     []queuedTask
+	weight    int
+	maxWeight int
 }
 
+// newInbox makes an inbox for tasks of a weight, of which engines and clients have a half each.
 func newInbox(maxWeight int, clock func() int64) *inbox {
-	b := &inbox{clock: clock, maxWeight: maxWeight, wake: make(chan struct{}, 1)}
-	b.capacity = sync.NewCond(&b.mu)
+	b := &inbox{clock: clock, wake: make(chan struct{}, 1)}
+	for i := range b.lanes {
+		b.lanes[i].capacity = sync.NewCond(&b.mu)
+		b.lanes[i].maxWeight = maxWeight / 2
+	}
 	return b
 }
 
 // put adds a task that the owner will run. Weight 0 never waits.
-func (b *inbox) put(weight int, run func()) {
-	task := queuedTask{run: run, queuedAt: b.clock()}
+func (b *inbox) put(in lane, weight int, run func()) {
+	task := queuedTask{run: run, queuedAt: b.clock(), happenedAfter: b.lastTurn.Load()}
+	q := &b.lanes[in]
 	b.mu.Lock()
-	for weight > 0 && b.queuedWeight > 0 && b.queuedWeight+weight > b.maxWeight && !b.closed {
-		b.capacity.Wait()
+	for weight > 0 && q.weight > 0 && q.weight+weight > q.maxWeight && !b.closed {
+		q.capacity.Wait()
 	}
 	if !b.closed {
-		b.tasks = append(b.tasks, task)
-		b.queuedWeight += weight
-	}
-	b.mu.Unlock()
-	b.wakeOwner()
-}
-
-// putUrgent adds a task that the owner runs before all that waits, and never waits itself. Endpoint lists come this way:
-// the time within which a drain has to be respected begins when it is notified, not when the owner gets to it.
-func (b *inbox) putUrgent(run func()) {
-	task := queuedTask{run: run, queuedAt: b.clock()}
-	b.mu.Lock()
-	if !b.closed {
-		b.urgent = append(b.urgent, task)
-		b.hasUrgent.Store(true)
+		q.tasks = append(q.tasks, task)
+		q.weight += weight
+		q.waiting.Store(true)
 	}
 	b.mu.Unlock()
 	b.wakeOwner()
@@ -69,27 +84,23 @@
 	}
 }
 
-// takeUrgent hands over all urgent tasks.
-func (b *inbox) takeUrgent() []queuedTask {
-	if !b.hasUrgent.Load() {
-		return nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	tasks := b.urgent
-	b.urgent = nil
-	b.hasUrgent.Store(false)
-	return tasks
-}
+// isWaiting is whether a lane has tasks.
+func (b *inbox) isWaiting(in lane) bool { return b.lanes[in].waiting.Load() }
 
-// take hands over all that waits; the memory of into is used again.
-func (b *inbox) take(into []queuedTask) []queuedTask {
+// take hands over all that waits in a lane; the memory of into is used again.
+func (b *inbox) take(in lane, into []queuedTask) []queuedTask {
+	clear(into)
+	into = into[:0]
+	q := &b.lanes[in]
+	if !q.waiting.Load() {
+		return into
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	tasks := b.tasks
-	clear(into)
-	b.tasks, b.queuedWeight = into[:0], 0
-	b.capacity.Broadcast()
+	tasks := q.tasks
+	q.tasks, q.weight = into, 0
+	q.waiting.Store(false)
+	q.capacity.Broadcast()
 	return tasks
 }
 
@@ -97,6 +108,10 @@
 func (b *inbox) close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.closed, b.tasks, b.urgent = true, nil, nil
-	b.capacity.Broadcast()
+	b.closed = true
+	for i := range b.lanes {
+		b.lanes[i].tasks = nil
+		b.lanes[i].waiting.Store(false)
+		b.lanes[i].capacity.Broadcast()
+	}
 }
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -19,18 +19,22 @@
 
 // ownerLoop is the state of the goroutine that owns the router.
 type ownerLoop struct {
-	edge  *Edge
-	tasks []queuedTask // of this round; its memory is used again
-	delay delayReport
-	// When the owner last emptied the inbox, and when it did the time before: a poller that waits for capacity in a full
-	// inbox hands over what it read before the last time.
-	lastTaken, previouslyTaken int64
+	edge        *Edge
+	listTasks   []queuedTask // of this turn; the memory of all three is used again
+	engineTasks []queuedTask
+	clientTasks []queuedTask
+	nextClient  int // the first of clientTasks that has not been run
+	delay       delayReport
+	// When the present turn began, and the one before: a poller that is about to hand over what it read may have read it
+	// before the present one.
+	turnedAt, previouslyTurned int64
+	ranDueAt                   int64
 	gaugesSetAt                int64
 }
 
 // runOwner is the one goroutine that owns the router. It ends with Stop.
 func (e *Edge) runOwner() {
-	l := ownerLoop{edge: e, lastTaken: e.clock(), previouslyTaken: e.clock(), delay: newDelayReport(e)}
+	l := ownerLoop{edge: e, turnedAt: e.clock(), delay: newDelayReport(e)}
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
@@ -47,27 +51,87 @@
 	}
 }
 
-// runTasks runs all tasks that wait, and at least every maxTurnDelay what is due in the router.
+// runTasks runs all tasks that wait. What engines sent goes before each task of a client: an attempt that is under way has
+// only so much time for its next step, and the engine's work is lost without it.
 func (l *ownerLoop) runTasks() {
-	e := l.edge
-	turnedAt := e.clock()
-	e.router.SetTime(turnedAt)
-	e.router.SetEarliestEventTime(l.previouslyTaken)
-	l.lastTaken, l.previouslyTaken = turnedAt, l.lastTaken
-	l.tasks = e.inbox.take(l.tasks)
-	for _, task := range l.tasks {
-		now := e.clock()
-		if now-turnedAt >= maxTurnDelay {
-			e.router.RunDue(now)
-			turnedAt = now
+	for !l.edge.isStopped() {
+		l.beginTurn()
+		l.runEngineTasks()
+		if !l.runClientTasks() {
+			return
+		}
+	}
+}
+
+func (l *ownerLoop) beginTurn() {
+	now := l.edge.clock()
+	l.turnedAt, l.previouslyTurned = now, l.turnedAt
+	l.edge.inbox.lastTurn.Store(l.previouslyTurned)
+}
+
+// runEngineTasks runs what engines sent, and then what is due.
+func (l *ownerLoop) runEngineTasks() {
+	l.engineTasks = l.edge.inbox.take(engineLane, l.engineTasks)
+	for _, task := range l.engineTasks {
+		l.run(engineLane, task)
+	}
+	l.runDue()
+}
+
+// runClientTasks runs what clients sent until something else has to be looked at. It returns whether there was any.
+func (l *ownerLoop) runClientTasks() bool {
+	if l.nextClient == len(l.clientTasks) {
+		l.clientTasks, l.nextClient = l.edge.inbox.take(clientLane, l.clientTasks), 0
+		if len(l.clientTasks) == 0 {
+			return false
 		}
-		e.router.SetTime(now)
-		l.runUrgent()
-		l.delay.note(requestTask, now, task.queuedAt)
-		task.run()
 	}
-	l.runUrgent()
-	e.router.RunDue(e.clock())
+	for l.nextClient < len(l.clientTasks) {
+		task := l.clientTasks[l.nextClient]
+		l.nextClient++
+		l.run(clientLane, task)
+		if l.edge.inbox.isWaiting(engineLane) || l.edge.clock()-l.turnedAt >= maxTurnDelay {
+			break
+		}
+	}
+	return true
+}
+
+// run runs a task, at least every maxTurnDelay after what is due in the router, and always after new endpoint lists.
+func (l *ownerLoop) run(in lane, task queuedTask) {
+	if l.edge.clock()-l.ranDueAt >= maxTurnDelay {
+		l.runDue()
+	}
+	l.runLists()
+	l.runNow(in, task)
+}
+
+func (l *ownerLoop) runNow(in lane, task queuedTask) {
+	now := l.edge.clock()
+	l.edge.router.SetTime(now)
+	l.edge.router.SetEarliestEventTime(task.happenedAfter)
+	l.delay.note(in, now, task.queuedAt)
+	task.run()
+}
+
+// runLists runs what waits of endpoint lists.
+func (l *ownerLoop) runLists() {
+	if !l.edge.inbox.isWaiting(listLane) {
+		return
+	}
+	l.listTasks = l.edge.inbox.take(listLane, l.listTasks)
+	for _, task := range l.listTasks {
+		l.runNow(listLane, task)
+	}
+}
+
+// runDue runs what is due in the router, after new endpoint lists.
+func (l *ownerLoop) runDue() {
+	l.runLists()
+	now := l.edge.clock()
+	l.ranDueAt = now
+	l.edge.router.SetEarliestEventTime(l.previouslyTurned)
+	l.edge.router.RunDue(now)
 }
 
 // setGauges sets the gauges when gaugeInterval has passed.
@@ -79,18 +143,19 @@
 	}
 }
 
-// runUrgent runs the tasks that overtake the inbox. The owner calls it.
-func (l *ownerLoop) runUrgent() {
-	for _, task := range l.edge.inbox.takeUrgent() {
-		l.delay.note(listTask, l.edge.clock(), task.queuedAt)
-		task.run()
+func (e *Edge) isStopped() bool {
+	select {
+	case <-e.stopped:
+		return true
+	default:
+		return false
 	}
 }
 
-// queryOwner has the owner read something of its state, and waits for it.
+// queryOwner has the owner read something of its state, and waits for it. What clients sent before is handled first.
 func queryOwner[T any](ctx context.Context, e *Edge, read func() T) (value T, err error) {
 	result := make(chan T, 1)
-	e.inbox.put(0, func() { result <- read() })
+	e.inbox.put(clientLane, 0, func() { result <- read() })
 	select {
 	case value = <-result:
 		return value, nil
--- a/internal/edge/start.go
+++ b/internal/edge/start.go
@@ -68,7 +68,7 @@
 func (e *Edge) followEndpoints() {
 	apply := func(list endpoint.List) {
 		e.reach(EndpointListRead)
-		e.inbox.putUrgent(func() { e.router.UpdateEndpoints(list) })
+		e.inbox.put(listLane, 0, func() { e.router.UpdateEndpoints(list) })
 	}
 	if e.endpoints == nil {
 		apply(endpoint.List{Revision: 1, Entries: e.deployment.Engines})
