Router: silence of engines is judged by what has been read, not by a clock that ran alone

Evidence: TestAnswersThatWaitForTheOwnerAreNoFaultsOfEngines failed before: the owner is paused for 0.9 s after a dial, the dial is up at once, and the request is shed with "not connected, the connection is gone" though no engine was asked. The dial's own timer: TestDialThatTimesOutWhileTheProcessIsPausedIsNoFaultOfTheEngine failed with "not connected" in place of "not sent". Change: the owner tells the router up to when all that engines and clients sent has been handled; silence is measured up to there. Package localpause notes when the process was not run, and gives what arrived meanwhile up to 0.1 s to be read. Latencies and resets of reused connections are measured to when they were read. A mutation's pattern follows the text.

--- a/internal/edge/dial_test.go
+++ b/internal/edge/dial_test.go
@@ -75,3 +75,29 @@
 		t.Error("no attempt met the shortage of descriptors")
 	}
 }
+
+func TestDialThatTimesOutWhileTheProcessIsPausedIsNoFaultOfTheEngine(t *testing.T) {
+	prefill := newScriptedEngine(t, "127.0.0.2", respondWith(prefillDone))
+	decode := newScriptedEngine(t, "127.0.0.3", respondWith(completeStream))
+	core, seen := observer.New(zap.InfoLevel)
+	e := newLoggedPlatformEdge(t, 1024, nil, fixedSource{engineAt("s-1", "m1", prefill), engineAt("s-2", "m2", decode)}, zap.New(core))
+	var dials atomic.Int64
+	e.UseDial(func(ctx context.Context, address string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			<-ctx.Done()
+			time.Sleep(100 * time.Millisecond) // the process looks at the end of the dial this late
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		}
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+	startReady(t, e)
+	defer e.Stop()
+	if status, body, err := postChat(t, e, "a", "alert"); status != 200 || err != nil || body != streamEvents {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	ended := seen.FilterMessage("attempt ended").All()
+	if len(ended) != 1 || ended[0].ContextMap()["verdict"] != "not sent" {
+		t.Errorf("attempts that failed: %v, want one that was not sent", ended)
+	}
+}
--- a/internal/edge/engine_side.go
+++ b/internal/edge/engine_side.go
@@ -9,6 +9,7 @@
 
 	"github.com/lesismal/nbio"
 
+	"sandcourse/internal/localpause"
 	"sandcourse/internal/neterr"
 	"sandcourse/internal/router"
 )
@@ -82,8 +83,12 @@
 	e := s.edge
 	ctx, cancel := context.WithTimeout(e.lifetime, e.deployment.Connections.DialTimeout)
 	defer cancel()
+	due := e.clock() + int64(e.deployment.Connections.DialTimeout)
 	for backoff := dialBackoffMin; ; backoff = min(2*backoff, dialBackoffMax) {
 		conn, err := s.dialOnce(ctx, address)
+		if err != nil && ctx.Err() != nil && localpause.IsLate(e.clock(), due) {
+			return nil, errors.Join(router.ErrLocal, err) // it may have come up while the process was not run
+		}
 		if err == nil || !neterr.IsLocal(err) && e.lifetime.Err() == nil {
 			return conn, err
 		}
--- a/internal/edge/late_owner_test.go
+++ b/internal/edge/late_owner_test.go
@@ -1,11 +1,17 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"sandcourse/internal/edge"
 	"sandcourse/internal/routing"
 )
 
@@ -45,3 +51,49 @@
 		t.Errorf("status %d, body %q, after %v", status, body, took)
 	}
 }
+
+func TestAnswersThatWaitForTheOwnerAreNoFaultsOfEngines(t *testing.T) {
+	const pause = 900 * time.Millisecond // longer than a dial, a control request and half an objective may take
+	for _, at := range []string{"dial", "prefill", "decode"} {
+		var e *edge.Edge
+		pauses := make(chan string, 1)
+		pauses <- at
+		pauseOnce := func(where string) {
+			select {
+			case next := <-pauses:
+				if next == where {
+					e.PauseOwner(pause)
+				} else {
+					pauses <- next
+				}
+			default:
+			}
+		}
+		reply := func(stage, wire string) func(int, *http.Request) (string, bool) {
+			return func(int, *http.Request) (string, bool) {
+				pauseOnce(stage)
+				return wire, false
+			}
+		}
+		prefill := newScriptedEngine(t, "127.0.0.2", reply("prefill", prefillDone))
+		decode := newScriptedEngine(t, "127.0.0.3", reply("decode", completeStream))
+		core, seen := observer.New(zap.InfoLevel)
+		e = newLoggedPlatformEdge(t, 1024, nil, fixedSource{engineAt("s-1", "m1", prefill), engineAt("s-2", "m2", decode)}, zap.New(core))
+		e.UseDial(func(ctx context.Context, address string) (net.Conn, error) {
+			pauseOnce("dial")
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		})
+		startReady(t, e)
+		if status, body, err := postChat(t, e, "a", "alert"); status != 200 || err != nil || body != streamEvents {
+			t.Errorf("%s: %d %q %v", at, status, body, err)
+		}
+		e.Stop()
+		for _, line := range seen.FilterMessage("attempt ended").All() {
+			t.Errorf("%s: an attempt failed: %v", at, line.ContextMap())
+		}
+		if n, m := prefill.countRequests("POST"), decode.countRequests("POST"); n != 1 || m != 1 {
+			t.Errorf("%s: %d prefills and %d decodes", at, n, m)
+		}
+	}
+}
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"time"
+
+	"sandcourse/internal/localpause"
+	"sandcourse/internal/router"
 )
 
 // ErrStopped says that the edge has stopped, so its state can no longer be read.
@@ -25,9 +28,11 @@
 	clientTasks []queuedTask
 	nextClient  int // the first of clientTasks that has not been run
 	delay       delayReport
+	pauses      localpause.Detector
 	// When the present turn began, and the one before: a poller that is about to hand over what it read may have read it
 	// before the present one.
 	turnedAt, previouslyTurned int64
+	observed                   router.ObservedTimes
 	ranDueAt                   int64
 	gaugesSetAt                int64
 }
@@ -38,13 +43,15 @@
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
-		wake.Reset(max(0, time.Duration(e.router.NextDue()-e.clock())))
+		due := e.router.NextDue()
+		wake.Reset(max(0, time.Duration(due-l.now())))
 		select {
 		case <-e.stopped:
 			return
 		case <-e.inbox.wake:
 		case <-wake.C:
 		}
+		l.pauses.Look(e.clock(), due)
 		l.runTasks()
 		l.setGauges()
 		l.delay.logIfLate(e.clock())
@@ -63,34 +70,46 @@
 	}
 }
 
-func (l *ownerLoop) beginTurn() {
+// now looks at the clock.
+func (l *ownerLoop) now() int64 {
 	now := l.edge.clock()
+	l.pauses.Look(now, 0)
+	return now
+}
+
+func (l *ownerLoop) beginTurn() {
+	now := l.now()
 	l.turnedAt, l.previouslyTurned = now, l.turnedAt
 	l.edge.inbox.lastTurn.Store(l.previouslyTurned)
 }
 
 // runEngineTasks runs what engines sent, and then what is due.
 func (l *ownerLoop) runEngineTasks() {
+	before := l.now()
 	l.engineTasks = l.edge.inbox.take(engineLane, l.engineTasks)
 	for _, task := range l.engineTasks {
 		l.run(engineLane, task)
 	}
+	l.observed.Engines = max(l.observed.Engines, l.pauses.Observed(before))
 	l.runDue()
 }
 
 // runClientTasks runs what clients sent until something else has to be looked at. It returns whether there was any.
 func (l *ownerLoop) runClientTasks() bool {
 	if l.nextClient == len(l.clientTasks) {
+		before := l.now()
 		l.clientTasks, l.nextClient = l.edge.inbox.take(clientLane, l.clientTasks), 0
 		if len(l.clientTasks) == 0 {
+			l.observed.Clients = max(l.observed.Clients, l.pauses.Observed(before))
 			return false
 		}
 	}
 	for l.nextClient < len(l.clientTasks) {
 		task := l.clientTasks[l.nextClient]
 		l.nextClient++
+		l.observed.Clients = max(l.observed.Clients, l.pauses.Observed(task.queuedAt))
 		l.run(clientLane, task)
-		if l.edge.inbox.isWaiting(engineLane) || l.edge.clock()-l.turnedAt >= maxTurnDelay {
+		if l.edge.inbox.isWaiting(engineLane) || l.now()-l.turnedAt >= maxTurnDelay {
 			break
 		}
 	}
@@ -99,7 +118,7 @@
 
 // run runs a task, at least every maxTurnDelay after what is due in the router, and always after new endpoint lists.
 func (l *ownerLoop) run(in lane, task queuedTask) {
-	if l.edge.clock()-l.ranDueAt >= maxTurnDelay {
+	if l.now()-l.ranDueAt >= maxTurnDelay {
 		l.runDue()
 	}
 	l.runLists()
@@ -107,8 +126,9 @@
 }
 
 func (l *ownerLoop) runNow(in lane, task queuedTask) {
-	now := l.edge.clock()
+	now := l.now()
 	l.edge.router.SetTime(now)
+	l.edge.router.SetReadTime(task.queuedAt)
 	l.edge.router.SetEarliestEventTime(task.happenedAfter)
 	l.delay.note(in, now, task.queuedAt)
 	task.run()
@@ -128,8 +148,9 @@
 // runDue runs what is due in the router, after new endpoint lists.
 func (l *ownerLoop) runDue() {
 	l.runLists()
-	now := l.edge.clock()
+	now := l.now()
 	l.ranDueAt = now
+	l.edge.router.SetObserved(l.observed)
 	l.edge.router.SetEarliestEventTime(l.previouslyTurned)
 	l.edge.router.RunDue(now)
 }
--- /dev/null
+++ b/internal/localpause/detector_test.go
@@ -0,0 +1,46 @@
+package localpause
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = int64(time.Millisecond)
+
+func TestPauseHoldsBackWhatWasObserved(t *testing.T) {
+	var d Detector
+	d.Look(1000*ms, 0)
+	d.Look(1030*ms, 1025*ms) // it waited
+	if got := d.Observed(1030 * ms); got != 1030*ms {
+		t.Errorf("without a pause observed until %d ms", got/ms)
+	}
+	d.Look(1500*ms, 1055*ms)
+	if got := d.Observed(1599 * ms); got != 1030*ms {
+		t.Errorf("just after a pause observed until %d ms, want 1030", got/ms)
+	}
+	if got := d.Observed(1600 * ms); got != 1600*ms {
+		t.Errorf("once it has caught up observed until %d ms, want 1600", got/ms)
+	}
+}
+
+func TestObservedTimeIsNeverAheadAndCatchesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d Detector
+		now, lastPause := ms, int64(0)
+		for range rapid.IntRange(1, 100).Draw(t, "looks") {
+			waits := rapid.Int64Range(0, 30*ms).Draw(t, "waits")
+			late := rapid.Int64Range(0, 60*ms).Draw(t, "late")
+			now += waits + late
+			d.Look(now, now-late)
+			if late >= int64(threshold) {
+				lastPause = now
+			}
+			observed := d.Observed(now)
+			if observed > now || now-lastPause >= int64(maxCatchUp) && observed != now {
+				t.Fatalf("at %d, %d after the last pause, observed until %d", now, now-lastPause, observed)
+			}
+		}
+	})
+}
--- a/internal/modelcheck/mutations_test.go
+++ b/internal/modelcheck/mutations_test.go
@@ -48,7 +48,7 @@
 	{"the reservation of a lost prefill is held until the request ends", "internal/router/reservations.go", "r.addReservation(att, reservation.PrefillLost)",
 		"_ = att.index", "one", "P5 P9 P10"},
 	{"a release is not retried", "internal/reservation/release.go", "t.setDue(r, now+int64(t.backoff(r.unacknowledged)))", "t.setDue(r, now+1<<50)", "one", "P5 P9 P10"},
-	{"a control request never times out", "internal/router/engine_connections.go", "conn.control != nil && r.now-conn.control.startedAt > r.controlTimeout()", "false", "one", "P5 P9 P10"},
+	{"a control request never times out", "internal/router/engine_connections.go", "conn.control != nil && observed-conn.control.startedAt > r.controlTimeout()", "false", "one", "P5 P9 P10"},
 	{"a broken stream is not reported", "internal/router/attempts.go", "r.finishRequest(att.request, OutcomeErrored, reasonStreamBroken+FailureReason(att.reason))", "_ = att.reason", "single", "P1 P9 P10"},
 	{"a stream ends without an error", "internal/router/request_outcomes.go", "\t\tr.write(client, last)", "\t\tr.write(client, last[len(last)-5:])", "single", "P1"},
 	{"finished requests are not forgotten", "internal/router/policy.go", "\t\tfor _, req := range r.requests.justFinished {\n\t\t\tr.forgetRequest(req)\n\t\t}", "", "single", "P9 P10"},
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -164,7 +164,7 @@
 	}
 	r.finishAfterAttempt(att)
 	r.notifyPolicy(routing.Outcome{RequestID: req.id, Attempt: att.index, Engine: att.engine, Verdict: result.Verdict,
-		Latency: time.Duration(r.now - att.startedAt), RequestEnded: req.outcome != "", CachedTokens: att.cachedTokens,
+		Latency: r.attemptLatency(att), RequestEnded: req.outcome != "", CachedTokens: att.cachedTokens,
 		ReservationLost: result.ReservationMissing, Report: att.loadReport, StaleConnection: att.stale})
 	// What was reserved after the request ended is released too: a prefill for which nobody waits.
 	if req.outcome != "" {
@@ -234,19 +234,25 @@
 	}
 	r.observer.FirstToken(r.config.Routes[req.route].Name, time.Duration(r.now-req.arrivedAt), req.received.Call.PromptTokens)
 	r.notifyPolicy(routing.FirstToken{RequestID: req.id, Attempt: att.index, Engine: att.engine,
-		Latency: time.Duration(r.now - att.startedAt)})
+		Latency: r.attemptLatency(att)})
+}
+
+// attemptLatency is how long an engine took until the present event, without the time that the event waited here.
+func (r *Router) attemptLatency(att *engineAttempt) time.Duration {
+	return time.Duration(max(0, r.eventTime()-att.startedAt))
 }
 
 // reapStalledStreams ends the attempts whose streams have had no token for too long.
 func (r *Router) reapStalledStreams() {
+	observed := r.enginesObserved()
 	for _, id := range r.requests.ids() {
 		for _, att := range r.requests.byID[id].attempts {
 			if att.ended {
 				continue
 			}
-			idle := time.Duration(r.now - max(att.startedAt, att.lastTokenAt))
+			idle := time.Duration(observed - max(att.startedAt, att.lastTokenAt))
 			if att.relay != nil {
-				idle = min(idle, time.Duration(r.now-att.relay.LastTokenAt()))
+				idle = min(idle, time.Duration(observed-att.relay.LastTokenAt()))
 			}
 			if attempt.Stalled(att.machine.State, idle, r.config.StallTimeout) {
 				r.handleAttemptEvent(att, attempt.StreamStalled, reasonStalled+AttemptReason(idle.String()))
--- a/internal/router/control_requests.go
+++ b/internal/router/control_requests.go
@@ -83,5 +83,5 @@
 
 func (r *Router) reportHealthCheck(control *controlRequest, verdict routing.Verdict, report *routing.LoadReport) {
 	r.notifyPolicy(routing.HealthCheckResult{Engine: control.engine, Verdict: verdict,
-		Latency: time.Duration(r.now - control.startedAt), Report: report})
+		Latency: time.Duration(max(0, r.eventTime()-control.startedAt)), Report: report})
 }
--- a/internal/router/engine_connections.go
+++ b/internal/router/engine_connections.go
@@ -227,7 +227,7 @@
 // failCarried ends what a connection carried when it was lost.
 func (r *Router) failCarried(conn *EngineConnection, event attempt.Event, reason AttemptReason) {
 	if att := conn.attempt; att != nil {
-		if event == attempt.ConnectionReset && conn.reused && att.responseHeads == 0 && r.now-conn.writtenAt < staleConnectionWindow {
+		if event == attempt.ConnectionReset && conn.reused && att.responseHeads == 0 && r.eventTime()-conn.writtenAt < staleConnectionWindow {
 			att.stale = true
 			r.connections.NoteEarlyClose(conn.Engine, r.now)
 		}
@@ -245,14 +245,15 @@
 		r.connections.Handle(id, connpool.IdleExpired, r.now)
 		r.closeConnection(id)
 	}
+	observed := r.enginesObserved()
 	for _, id := range r.connections.IDs() {
 		conn := r.connections.byID[id]
 		if conn == nil {
 			continue
 		}
-		if conn.drainingSince > 0 && r.now-conn.drainingSince > drainTime ||
-			conn.control != nil && r.now-conn.control.startedAt > r.controlTimeout() ||
-			conn.socket == nil && r.now-conn.dialedAt > 2*int64(r.config.Connections.DialTimeout) {
+		if conn.drainingSince > 0 && observed-conn.drainingSince > drainTime ||
+			conn.control != nil && observed-conn.control.startedAt > r.controlTimeout() ||
+			conn.socket == nil && observed-conn.dialedAt > 2*int64(r.config.Connections.DialTimeout) {
 			r.discardConnection(conn)
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,7 +70,7 @@
 
 // RunDue does what is due by now and flushes what clients are to get.
 func (r *Router) RunDue(now int64) {
-	r.now = now
+	r.SetTime(now)
 	for _, reserved := range r.reservations.DueBy(now) {
 		r.runReservation(reserved)
 	}
@@ -94,7 +94,7 @@
 	r.reapplyEndpoints()
 	r.reapConnections()
 	r.closeFlushed()
-	for _, expired := range r.admission.Expired(r.now) {
+	for _, expired := range r.admission.Expired(r.clientsObserved()) {
 		r.expireClient(r.clients.byID[expired.ID], expired.State)
 	}
 	r.reapStalledStreams()
