Router: a drain that is told while a decision is made is known before it is carried out

And a list's drains counted from when the owner came to the list, not from when it was brought. TestDrainThatIsToldDuringADecisionIsKept before: a decision of 0.4 s, the drain is told at its start, the prefill goes to the engine that drains. Change: after each decision the owner looks at the clock and applies the lists that wait (Transport.CatchUp, the one method that may call back); drains count from when the process is known to have run before the list was brought.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,7 @@
 	incarnation int64 // Unix milliseconds of the start: request names differ between incarnations
 
 	inbox    *inbox         // the way to the owner
+	owner    *ownerLoop     // the owner's
 	router   *router.Router // the owner's
 	loads    loadCounters   // the owner's
 	sessions sessionFence
@@ -84,6 +85,7 @@
 		stopped:        make(chan struct{}),
 	}
 	e.inbox = newInbox(deployment.QueueBytes, e.clock)
+	e.owner = &ownerLoop{edge: e, turnedAt: e.clock(), delay: newDelayReport(e)}
 	e.incarnation = e.startedAt.UnixMilli()
 	e.lifetime, e.endLifetime = context.WithCancel(context.Background())
 	e.clients = clientSide{edge: e, limit: newConnectionLimit(deployment.Limits.Connections + spareConnections)}
--- a/internal/edge/late_owner_test.go
+++ b/internal/edge/late_owner_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"sandcourse/internal/edge"
+	"sandcourse/internal/endpoint"
 	"sandcourse/internal/routing"
 )
 
@@ -97,3 +98,38 @@
 		}
 	}
 }
+
+func TestDrainThatIsToldDuringADecisionIsKept(t *testing.T) {
+	const decisionTime = 400 * time.Millisecond // longer than the grace of a drain
+	old, fresh := newScriptedEngine(t, "127.0.0.2", respondWith(prefillDone)), newScriptedEngine(t, "127.0.0.4", respondWith(prefillDone))
+	decode := engineAt("s-2", "m2", newScriptedEngine(t, "127.0.0.3", respondWith(completeStream)))
+	source := make(listSource, 1)
+	e := newPlatformEdgeFrom(t, 1024, nil, source)
+	source <- endpoint.List{Revision: 1, Entries: []endpoint.Entry{engineAt("s-1", "m1", old), decode}}
+	startReady(t, e)
+	defer e.Stop()
+	if status, _, err := postChat(t, e, "a", "alert"); status != 200 || err != nil { // the engines' connections are open
+		t.Fatal(status, err)
+	}
+	drains := engineAt("s-1", "m1", old)
+	drains.State = endpoint.Draining
+	second := endpoint.List{Revision: 2, Entries: []endpoint.Entry{drains, decode, engineAt("s-3", "m1", fresh)}}
+	told := make(chan struct{})
+	e.OnDecision(func(event routing.Event) {
+		if arrival, ok := event.(routing.RequestArrived); ok && arrival.Session == "k" {
+			select {
+			case <-told:
+			default:
+				close(told)
+				source <- second
+				time.Sleep(decisionTime)
+			}
+		}
+	})
+	if status, body, err := postChat(t, e, "b", "alert"); status != 200 || err != nil || body != streamEvents {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	if n, m := old.countRequests("POST"), fresh.countRequests("POST"); n != 1 || m != 1 {
+		t.Errorf("%d prefills at the engine that was told to drain, one of them before, %d at the other", n, m)
+	}
+}
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -39,7 +39,7 @@
 
 // runOwner is the one goroutine that owns the router. It ends with Stop.
 func (e *Edge) runOwner() {
-	l := ownerLoop{edge: e, turnedAt: e.clock(), delay: newDelayReport(e)}
+	l := e.owner
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
@@ -145,6 +145,13 @@
 	}
 }
 
+// CatchUp runs what waits of endpoint lists: a drain that was told during a decision is known before it is carried out. The
+// router calls it.
+func (e *Edge) CatchUp() {
+	e.router.SetTime(e.owner.now())
+	e.owner.runLists()
+}
+
 // runDue runs what is due in the router, after new endpoint lists.
 func (l *ownerLoop) runDue() {
 	l.runLists()
--- a/internal/emulator/router.go
+++ b/internal/emulator/router.go
@@ -59,6 +59,9 @@
 	})
 }
 
+// CatchUp has nothing to do: no time passes while a decision is made.
+func (r *simulatedRouter) CatchUp() {}
+
 // SendToPeer drops gossip: emulated routers share nothing but engines.
 func (r *simulatedRouter) SendToPeer(int, string) {}
 
--- a/internal/modelcheck/simulation.go
+++ b/internal/modelcheck/simulation.go
@@ -109,6 +109,9 @@
 	s.core.RunDue(s.now)
 }
 
+// CatchUp has nothing to do: no time passes while a decision is made.
+func (s *simulation) CatchUp() {}
+
 // SendToPeer drops gossip: routers of a fleet share nothing but engines.
 func (s *simulation) SendToPeer(int, string) {}
 
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -133,7 +133,7 @@
 	list = r.endpoints.accept(list, r.now)
 	list.Entries = r.endpoints.starts.normalize(list.Entries, r.now)
 	update, unknown := r.config.EndpointUpdate(list)
-	r.endpoints.noteEngines(update.Engines, r.now)
+	r.endpoints.noteEngines(update.Engines, r.earliestEventTime()) // drains count from when they were told
 	r.endpoints.setCurrent(&list)
 	r.closeMovedConnections()
 	r.observer.EndpointsUpdated(list.Revision, len(update.Engines), unknown)
--- a/internal/router/interfaces.go
+++ b/internal/router/interfaces.go
@@ -2,8 +2,11 @@
 
 import "errors"
 
-// Transport is what a router needs of the network. Its methods must not call back into the router.
+// Transport is what a router needs of the network. Its methods must not call back into the router, but for CatchUp.
 type Transport interface {
+	// CatchUp is called after each decision of the policy, which may have taken a while, and before it is carried out. It may
+	// call SetTime, and UpdateEndpoints with lists that have come meanwhile.
+	CatchUp()
 	// Dial connects to an engine; Router.EngineConnected follows, in a later event.
 	Dial(conn *EngineConnection)
 	// SendToPeer sends a short text to one router, or to all others where to is negative.
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -45,6 +45,7 @@
 			r.restartPolicy()
 			continue
 		}
+		r.catchUp()
 		for _, action := range actions {
 			r.performAction(action)
 		}
@@ -57,6 +58,13 @@
 	r.policy.pending, r.policy.running = nil, false
 }
 
+// catchUp lets the time pass and new lists come in that a decision has taken. The present event stays the same.
+func (r *Router) catchUp() {
+	readAt, earliestEvent := r.readAt, r.earliestEvent
+	r.transport.CatchUp()
+	r.readAt, r.earliestEvent = readAt, earliestEvent
+}
+
 // runPolicy is the only place that calls the policy. A panic there must not end the requests of the whole router.
 func (r *Router) runPolicy(event routing.Event) (actions []routing.Action, ok bool) {
 	defer func() {
--- a/internal/router/testbed_test.go
+++ b/internal/router/testbed_test.go
@@ -56,6 +56,7 @@
 // ignoredObserver ignores what a router reports and no test here looks at.
 type ignoredObserver struct{}
 
+func (ignoredObserver) CatchUp()                                         {}
 func (ignoredObserver) SendToPeer(int, string)                           {}
 func (ignoredObserver) RequestFinished(router.RequestSummary)            {}
 func (ignoredObserver) RequestShed(router.ShedRequest)                   {}
