A request that has waited for longer than it may take in all is shed at once

Nothing told the policy how long a request had waited for the owner: to it each arrived when it was handled, with the whole of its time before it. Evidence: TestRequestThatHasWaitedForTooLongIsShedWithoutAnAttempt before: a request that waited 1.2 s for the owner, objective 1 s, is prefilled and answered 200. Change: the policy is told the wait (RequestArrived.Waited). A request that has waited for longer than the share of its objective that admission allows it in all is shed before any engine is looked at, the least weight first; the wait counts in what is expected of the others.

--- a/cmd/sandcourse-edge/fleet_test.go
+++ b/cmd/sandcourse-edge/fleet_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -43,6 +44,7 @@
 	agent    string
 	// obligations are added to those of nodeConfig: further fields of the JSON object, each behind a comma.
 	obligations string
+	objective   time.Duration // for the first token; 0 for longer than any client waits
 }
 
 func startEdges(t *testing.T, edges int, fleet *platformengine.Fleet, log *audit.Log, engines []platformengine.Config) *edgeProcesses {
@@ -134,13 +136,16 @@
  "settings":{"areas":["a"],"zone":0,"index":%d,"peers_total":%d,"tick_us":4000,"flavors":["read","write"],"ceilings":{
  "try_limit":5,"cancel":true,"probes":true,"retry_after":true,"max_retry_after_us":1000000,"dial_timeout_us":250000},
  "report":{"how":"inline","fields":["x0","x1"]},"family_info":{"stage_of_kind":["read","write"],"pin_limit_us":1000000,
- "kind_memory_tokens":[1000000,1000000]},"classes":[{"name":"chat","effect":"retryable","worth":1,"objective_us":9000000},
- {"name":"alert","effect":"fragile","worth":5,"objective_us":9000000}],"obligations":{"drain_grace_us":250000%s}}}`
+ "kind_memory_tokens":[1000000,1000000]},"classes":[{"name":"chat","effect":"retryable","worth":1,"objective_us":%[8]d},
+ {"name":"alert","effect":"fragile","worth":5,"objective_us":%[8]d}],"obligations":{"drain_grace_us":250000%[9]s}}}`
+
+// longObjective is longer than any client waits.
+const longObjective = 9 * time.Second
 
 func (p *edgeProcesses) startEdge(binary string, i, edges int, discovery, list string, prepare func(*exec.Cmd)) {
 	addr := freeAddress(p.t)
 	config := filepath.Join(p.t.TempDir(), "config.json")
-	text := fmt.Sprintf(nodeConfig, i, addr, discovery, i+1, list, i, edges, p.obligations)
+	text := fmt.Sprintf(nodeConfig, i, addr, discovery, i+1, list, i, edges, cmp.Or(p.objective, longObjective).Microseconds(), p.obligations)
 	if err := os.WriteFile(config, []byte(text), 0o644); err != nil {
 		p.t.Fatal(err)
 	}
--- a/cmd/sandcourse-edge/large_fleet_test.go
+++ b/cmd/sandcourse-edge/large_fleet_test.go
@@ -111,10 +111,11 @@
 	engines []*platformengine.Engine
 }
 
-func startLargeFleet(t *testing.T, engines int) *largeFleet {
+func startLargeFleet(t *testing.T, engines int, objective time.Duration) *largeFleet {
 	t.Helper()
 	log := &audit.Log{}
-	f := &largeFleet{edgeProcesses: &edgeProcesses{t: t, log: log, fleet: platformengine.NewFleet(log), obligations: slowStartObligations}}
+	f := &largeFleet{edgeProcesses: &edgeProcesses{t: t, log: log, fleet: platformengine.NewFleet(log),
+		obligations: slowStartObligations, objective: objective}}
 	entries := map[string]string{}
 	for i := range engines {
 		config := platformengine.Config{ID: fmt.Sprintf("s-%04d", i), Role: platformengine.Prefill, Slots: 4, WorkTime: 10 * time.Millisecond}
@@ -189,6 +190,7 @@
 		platform.HeaderAffinityKey: "s" + id, platform.HeaderTimeout: fmt.Sprintf("%.3f", deadline.Seconds())} {
 		r.Header.Set(field, value)
 	}
+	r.Header["X-Idempotency-Key"] = nil // a request that crosses the close of an idle connection is sent once more
 	record := audit.ClientRecord{ClientRequestID: id, RequestID: id, Route: "chat", Edge: "n0", Sent: time.Now(), Deadline: time.Now().Add(deadline)}
 	defer func() { record.End = time.Now(); f.log.RecordClient(record) }()
 	answer, err := client.Do(r)
@@ -276,7 +278,7 @@
 
 func TestRollingReplacementOfALargeFleetDelaysNoRequest(t *testing.T) {
 	const engines, perSecond, lasts, share = 1600, 40, 6 * time.Second, 0.4 // of a core, as the deployment allows
-	f := startLargeFleet(t, engines)
+	f := startLargeFleet(t, engines, longObjective)
 	ctx, stop := context.WithTimeout(context.Background(), lasts)
 	defer stop()
 	go f.replaceHalf(ctx, 300*time.Millisecond)
@@ -287,8 +289,8 @@
 }
 
 func TestNodeServesAtOnceAfterABurstThatItCannotServe(t *testing.T) {
-	const engines, share = 200, 0.1
-	f := startLargeFleet(t, engines)
+	const engines, share, objective = 200, 0.1, time.Second
+	f := startLargeFleet(t, engines, objective)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var throttled sync.WaitGroup
@@ -303,14 +305,15 @@
 	burst.Wait()
 	served := 0
 	for _, record := range f.log.ClientRecords() {
-		if strings.HasPrefix(record.RequestID, "after") && record.Outcome == audit.OutcomeCompleted && record.FirstToken < time.Second {
+		if strings.HasPrefix(record.RequestID, "after") && record.Outcome == audit.OutcomeCompleted && record.FirstToken < objective {
 			served++
 		}
-		if late := record.End.Sub(record.Deadline); record.Outcome != audit.OutcomeCompleted && late > lateAnswerLimit+machineSlack {
-			t.Errorf("%s is %s %v after its deadline", record.RequestID, record.Outcome, late)
+		late := record.End.Sub(record.Deadline)
+		if record.Outcome == audit.OutcomeLost || record.Outcome != audit.OutcomeCompleted && late > lateAnswerLimit+machineSlack {
+			t.Errorf("%s is %s %v after its deadline: %s", record.RequestID, record.Outcome, late, record.Reason)
 		}
 	}
 	if float64(served) < servedShare*float64(sent) {
-		t.Errorf("%d of %d requests that come %v after a burst are served within a second", served, sent, time.Since(after))
+		t.Errorf("%d of %d requests that come %v after a burst are served within their objective", served, sent, time.Since(after))
 	}
 }
--- a/cmd/sandcourse-edge/signals_test.go
+++ b/cmd/sandcourse-edge/signals_test.go
@@ -52,7 +52,7 @@
 	}
 	edge := exec.Command(edgeBinary(t), "--config", config)
 	startCommand(t, edge)
-	text := fmt.Sprintf(nodeConfig, 0, listen, freeAddress(t), 1, oneEngineList, 0, 1, "")
+	text := fmt.Sprintf(nodeConfig, 0, listen, freeAddress(t), 1, oneEngineList, 0, 1, longObjective.Microseconds(), "")
 	writer, err := os.OpenFile(config, os.O_WRONLY, 0) // returns once the edge has opened the other end
 	if err != nil {
 		t.Fatal(err)
@@ -258,7 +258,7 @@
 		t.Fatal(err)
 	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	text := fmt.Sprintf(nodeConfig, 0, listener.Addr().String(), freeAddress(t), 1, oneEngineList, 0, 1, "")
+	text := fmt.Sprintf(nodeConfig, 0, listener.Addr().String(), freeAddress(t), 1, oneEngineList, 0, 1, longObjective.Microseconds(), "")
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/edge/late_owner_test.go
+++ b/internal/edge/late_owner_test.go
@@ -133,3 +133,23 @@
 		t.Errorf("%d prefills at the engine that was told to drain, one of them before, %d at the other", n, m)
 	}
 }
+
+func TestRequestThatHasWaitedForTooLongIsShedWithoutAnAttempt(t *testing.T) {
+	const pause = 1200 * time.Millisecond // the objective is 1 s
+	prefill, decode := newScriptedEngine(t, "127.0.0.2", respondWith(prefillDone)), newScriptedEngine(t, "127.0.0.3", respondWith(completeStream))
+	e := startPlatformEdge(t, 1024, nil, prefill, decode)
+	defer e.Stop()
+	late, next := dialRaw(t, e), dialRaw(t, e)
+	e.PauseOwner(pause)
+	late.send(requestText("late", "chat"))
+	if status, _ := late.readResponse(); status != http.StatusServiceUnavailable {
+		t.Errorf("a request that has waited longer than its objective is answered %d", status)
+	}
+	if n := prefill.countRequests("POST"); n != 0 {
+		t.Errorf("%d prefills for it", n)
+	}
+	next.send(requestText("next", "chat"))
+	if status, body := next.readResponse(); status != 200 || body != streamEvents {
+		t.Errorf("the next request is answered %d, %q", status, body)
+	}
+}
--- a/internal/router/clock.go
+++ b/internal/router/clock.go
@@ -63,13 +63,14 @@
 	return min(c.now, c.earliestEvent)
 }
 
-// arrivalTime is when the timeout of a request that is received now begins: where the process did not run for a while, the
-// request may have waited all that time.
+// arrivalTime is when the timeout of a request that is handled now began: when it was read or, where the process did not run
+// for a while before that, as early as it may have come.
 func (c *clock) arrivalTime() int64 {
-	if since := c.earliestEventTime(); c.now-since > delayThreshold {
+	read := c.eventTime()
+	if since := c.earliestEventTime(); read-since > delayThreshold {
 		return since
 	}
-	return c.now
+	return read
 }
 
 func (c *clock) nextReap() int64 { return c.reapedAt + reapInterval }
--- a/internal/router/request_admission.go
+++ b/internal/router/request_admission.go
@@ -23,7 +23,7 @@
 	r.requests.add(req)
 	r.monitor.RequestAccepted(req.id, invariant.AcceptedRequest{Name: req.name, Effect: r.effect(route),
 		DedupWindow: r.config.Routes[route].DedupWindow, Deadline: req.deadline})
-	r.notifyPolicy(arrivalOf(req))
+	r.notifyPolicy(r.arrivalOf(req))
 	r.forgetRequest(req)
 }
 
@@ -96,7 +96,7 @@
 		client:    client,
 		received:  received,
 		route:     route,
-		arrivedAt: r.now,
+		arrivedAt: r.eventTime(),
 		deadline:  r.arrivalTime() + int64(timeout),
 		collector: r.protocol.NewCollector(received.Call),
 	}
@@ -104,10 +104,10 @@
 
 // arrivalOf is what the policy is told of a new request. A request without a session is one of its own: the policy must not
 // take strangers for one session.
-func arrivalOf(req *request) routing.RequestArrived {
+func (r *Router) arrivalOf(req *request) routing.RequestArrived {
 	call := req.received.Call
 	return routing.RequestArrived{RequestID: req.id, Route: req.route, Session: cmp.Or(call.Session, req.name), Prefix: call.Prefix,
-		Deadline: time.Duration(req.deadline), PromptTokens: float64(call.PromptTokens), PrefixTokens: float64(call.PrefixTokens),
+		Waited: time.Duration(r.now - req.arrivedAt), Deadline: time.Duration(req.deadline), PromptTokens: float64(call.PromptTokens), PrefixTokens: float64(call.PrefixTokens),
 		MaxOutputTokens: float64(call.MaxOutputTokens), ClientRetry: call.Idempotent, Resumed: call.Resumes}
 }
 
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -33,13 +33,23 @@
 	uncached := 1 - p.cachedTokens(req, prefill)/max(req.PromptTokens, 1)
 	late := shareAbove(p.firstTokenOverruns, p.now, overloadWindow, overloadMinSamples)
 	overload := shareAbove(p.expectedOverruns, p.now, overloadWindow, overloadMinSamples)
-	limit := (0.4 + 0.4*weight) * (1 - late*(0.4+0.6*uncached)) * (1 - 0.6*overload*uncached)
+	limit := latencyLimit(weight) * (1 - late*(0.4+0.6*uncached)) * (1 - 0.6*overload*uncached)
 	if expected > limit*objective {
 		return cannotMeetObjective
 	}
 	return admitted
 }
 
+// latencyLimit is the share of its objective that a request of a weight may be expected to take.
+func latencyLimit(weight float64) float64 { return 0.4 + 0.4*weight }
+
+// hasWaitedTooLong is whether a request has waited at this node for longer than it may be expected to take in all. A
+// node that is late works it off by shedding what is old, the least weight first, in place of making all late.
+func (p *Policy) hasWaitedTooLong(req *request) bool {
+	limit := latencyLimit(p.weightShare(req)) * p.firstTokenObjective(req)
+	return !req.Resumed && float64(req.Waited) > limit
+}
+
 // expectedLatency is when the first token of a request is expected, in nanoseconds since its arrival.
 // Reservations that wait here for a decode engine say more than any latency.
 func (p *Policy) expectedLatency(req *request, prefill *engine, decoders []*engine) float64 {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -27,6 +27,7 @@
 	RequestID                  int64
 	Route                      int
 	Session, Prefix            string
+	Waited                     time.Duration // since this node has read it
 	Deadline                   time.Duration
 	PromptTokens, PrefixTokens float64
 	MaxOutputTokens            float64
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -56,6 +56,9 @@
 // requestLoad checks the preferred prefill engines and some decode engines, whose load a node among many
 // cannot know.
 func (p *Policy) requestLoad(req *request) trigger {
+	if p.hasWaitedTooLong(req) {
+		return cannotMeetObjective
+	}
 	p.recentPrefixes = appendBounded(p.recentPrefixes, req.Prefix, 64)
 	ready := p.usableEngines(req, p.prefillEngines, everyEngine)
 	preferred := p.preferredEngines(req, ready)
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -166,10 +166,10 @@
 
 // handleArrival starts the timers of a new request and its first transition.
 func (p *Policy) handleArrival(arrival RequestArrived) {
-	req := &request{RequestArrived: arrival, arrivedAt: p.now}
+	req := &request{RequestArrived: arrival, arrivedAt: p.now - arrival.Waited}
 	p.requests[req.RequestID] = req
 	p.startTimer(req.RequestID, deadlineNear, max(0, req.Deadline-p.now-p.deadlineMargin()))
-	p.startTimer(req.RequestID, objectiveMissed, time.Duration(p.firstTokenObjective(req)))
+	p.startTimer(req.RequestID, objectiveMissed, max(0, time.Duration(p.firstTokenObjective(req))-arrival.Waited))
 	p.fire(req, arrived)
 }
 
