--- /dev/null
+++ b/cmd/sandcourse-edge/early_signal_test.go
@@ -0,0 +1,67 @@
+package main_test
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// runLine is how the deploy file starts an edge, with the test's binary and configuration.
+func runLine(t *testing.T, config string) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := regexp.MustCompile(`(?m)^run = '(.*?)'`).FindSubmatch(text)
+	if line == nil {
+		t.Fatal("the deploy file has no run line")
+	}
+	return strings.NewReplacer("bin/sandcourse-edge", edgeBinary(t), `"$NODE_CONFIG"`, strconv.Quote(config)).Replace(string(line[1]))
+}
+
+// awaitExec returns once a process runs the edge's program and not the shell that starts it.
+func awaitExec(t *testing.T, pid int) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+		target, err := os.Readlink(filepath.Join("/proc", strconv.Itoa(pid), "exe"))
+		if err == nil && target == edgeBinary(t) {
+			return
+		}
+	}
+	t.Fatal("the shell never starts the edge")
+}
+
+func TestReloadInTheFirstMomentOfADeployedEdgeDoesNotEndIt(t *testing.T) {
+	const starts = 40
+	config := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(config, 0o600); err != nil { // it waits for its configuration, and does nothing else
+		t.Fatal(err)
+	}
+	ended := 0
+	for range starts {
+		edge := exec.Command("/bin/sh", "-c", runLine(t, config))
+		startCommand(t, edge)
+		awaitExec(t, edge.Process.Pid)
+		if err := edge.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if err := edge.Process.Signal(syscall.SIGKILL); errors.Is(err, os.ErrProcessDone) {
+			t.Fatal(err)
+		}
+		edge.Wait()
+		if status := edge.ProcessState.Sys().(syscall.WaitStatus); status.Signal() == syscall.SIGHUP {
+			ended++
+		}
+	}
+	if ended > 0 {
+		t.Errorf("%d of %d edges are ended by a reload in their first moment", ended, starts)
+	}
+}
--- a/internal/soak/edge_process.go
+++ b/internal/soak/edge_process.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -41,6 +42,22 @@
 	killed   bool
 }
 
+// runLine starts an edge as the deploy file does: a reload in its first moment does not end it.
+const runLine = `trap "" HUP; exec "$0" --config "$1"`
+
+// shellTime is how long the shell may take that starts an edge.
+const shellTime = 2 * time.Second
+
+// awaitExec waits until a process runs the edge and not the shell that starts it: signals are for the edge.
+func awaitExec(pid int) {
+	exe := fmt.Sprintf("/proc/%d/exe", pid)
+	for end := time.Now().Add(shellTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if target, err := os.Readlink(exe); err == nil && filepath.Base(target) == "sandcourse-edge" {
+			return
+		}
+	}
+}
+
 func newEdgeProcess(r *soakRun, number int) *edgeProcess {
 	return &edgeProcess{soak: r, number: number, group: number % groupCount, addr: edgeAddress(number, clientPort),
 		peerAddr: edgeAddress(number, peerPort), configPath: fmt.Sprintf("%s/n%d.json", r.folder, number)}
@@ -66,7 +83,7 @@
 	if err := p.configure(false); err != nil {
 		return err
 	}
-	command := exec.Command(p.soak.config.Binary, "--config", p.configPath)
+	command := exec.Command("/bin/sh", "-c", runLine, p.soak.config.Binary, p.configPath)
 	output, err := command.StderrPipe()
 	if err != nil {
 		return err
@@ -74,6 +91,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	awaitExec(command.Process.Pid)
 	exited := make(chan struct{})
 	p.mu.Lock()
 	p.command, p.exited, p.stopping = command, exited, false
