--- a/internal/soak/edge_faults.go
+++ b/internal/soak/edge_faults.go
@@ -50,16 +50,18 @@
 // starts.
 func (r *soakRun) restart(_ context.Context, random *rand.Rand, p *edgeProcess) {
 	r.noteFault("%s is terminated", p.name())
-	p.end(false, func() {
+	p.end(false, func() { p.signalSeries(random) })
+	r.startAgain(p, random)
+}
+
+// signalSeries sends up to three signals to an edge that is shutting down, some at once and some apart.
+func (p *edgeProcess) signalSeries(random *rand.Rand) {
+	for range random.IntN(4) {
 		if random.IntN(2) == 0 {
 			time.Sleep(between(random, 0, 300*time.Millisecond))
-			p.signal(syscall.SIGHUP)
 		}
-		if random.IntN(3) == 0 {
-			p.signal(syscall.SIGTERM)
-		}
-	})
-	r.startAgain(p, random)
+		p.signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[random.IntN(2)])
+	}
 }
 
 // startAgain starts an edge that has ended.
@@ -99,6 +101,24 @@
 	}
 }
 
+// throttlePeriod is how often an edge with a share of a core runs.
+const throttlePeriod = 40 * time.Millisecond
+
+// throttleEdge gives an edge a share of a core for a while, by stopping it for the rest of each period.
+func (r *soakRun) throttleEdge(ctx context.Context, random *rand.Rand, p *edgeProcess) {
+	const leastShare = 0.1
+	share := leastShare + (0.4-leastShare)*random.Float64() // up to what the operators' deployment allows
+	end := time.Now().Add(between(random, 500*time.Millisecond, 3*time.Second))
+	r.noteFault("%s has %.2f of a core", p.name(), share)
+	running := time.Duration(share * float64(throttlePeriod))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(throttlePeriod - running)
+		p.signal(syscall.SIGCONT)
+		time.Sleep(running)
+	}
+}
+
 // exhaustDescriptors lets an edge's accept, socket and dup calls fail with EMFILE for a moment.
 func (r *soakRun) exhaustDescriptors(_ context.Context, random *rand.Rand, p *edgeProcess) {
 	r.noteFault("%s has few descriptors left", p.name())
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -21,6 +21,7 @@
 		r.unresponsiveEngine, r.resetEngine, r.refusingEngine, r.faultyConnections, r.faultyConnections,
 		r.replaceEngine, r.replaceEngine,
 		r.onEdge(r.pauseEdge), r.onEdge(r.exhaustDescriptors), r.onEdge(r.interruptSystemCalls),
+		r.onEdge(r.throttleEdge), r.replaceManyEngines, r.crowd,
 	}
 }
 
--- a/internal/soak/network_faults.go
+++ b/internal/soak/network_faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -109,11 +110,37 @@
 
 // replaceEngine drains an engine, and starts another one in its place.
 func (r *soakRun) replaceEngine(_ context.Context, random *rand.Rand) {
+	r.replace(r.takeEngine(random), between(random, 500*time.Millisecond, 2*time.Second))
+}
+
+// replaceManyEngines replaces half of the engines at once.
+func (r *soakRun) replaceManyEngines(_ context.Context, random *rand.Rand) {
+	var all sync.WaitGroup
+	for range r.config.Engines {
+		old, drainTime := r.takeEngine(random), between(random, 500*time.Millisecond, 2*time.Second)
+		all.Go(func() { r.replace(old, drainTime) })
+	}
+	all.Wait()
+}
+
+// takeEngine takes an engine off those that faults are drawn for; nil where there is none.
+func (r *soakRun) takeEngine(random *rand.Rand) *listedEngine {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.engines) <= 1 {
+		return nil
+	}
 	at := random.IntN(len(r.engines))
 	old := r.engines[at]
 	r.engines = slices.Delete(slices.Clone(r.engines), at, at+1)
-	r.mu.Unlock()
+	return old
+}
+
+// replace drains an engine that was taken, and starts another one in its place.
+func (r *soakRun) replace(old *listedEngine, drainTime time.Duration) {
+	if old == nil {
+		return
+	}
 	r.noteFault("%s is replaced", old.ID)
 	if err := r.addEngine(platformengine.Role(old.listed.kind)); err != nil {
 		r.violate("an engine: %v", err)
@@ -121,7 +148,7 @@
 	}
 	r.setState(old, draining)
 	r.recordDrain(old.ID)
-	time.Sleep(between(random, 500*time.Millisecond, 2*time.Second))
+	time.Sleep(drainTime)
 	r.setState(old, deleted)
 	time.Sleep(replacedEngineTime)
 	old.close()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,7 @@
 	injectorStreams = 10
 	clientStreams   = 100
 	recoveryStreams = 1000
+	crowdStreams    = 10_000
 )
 
 // soakRun is the state of one run.
@@ -64,6 +65,7 @@
 	injectedFaults []string
 	responses      map[string]int
 	lastEngine     int
+	lastInCrowd    int                  // the number of the last client of a crowd
 	unanswered     []audit.ClientRecord // of edges that were shutting down and were not killed
 	auxiliary      sync.WaitGroup
 }
