Routing: requests that wait for a fleet in slow start do not look at all engines each time

Related path of the first fault, found by a benchmark: requests without an engine ask again each 30 ms, and each time all engines were asked for their slow start. Change: where all engines of a role are closed it is known until when: the next lots, the end of a send's window or of a slow start, or a new count of what engines did.

--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -14,7 +14,7 @@
 // whatever filled them: too much traffic, engines that are lost or slow, or caches that were lost. It does
 // harm where latencies are high but harmless. Resumed streams are always admitted.
 func (p *Policy) admit(req *request) trigger {
-	decoders := p.usableEngines(req, p.decodeEngines, everyEngine)
+	decoders := p.usableEngines(req, &p.decodeEngines, everyEngine)
 	if len(decoders) == 0 || req.Resumed {
 		return admitted
 	}
--- a/internal/routing/decode.go
+++ b/internal/routing/decode.go
@@ -49,9 +49,10 @@
 
 // fewestStreams is the session's engine if it is quick, else all those with the fewest streams of this node.
 func (p *Policy) fewestStreams(req *request) []*engine {
-	candidates := p.decodeEngines
+	candidates := &p.decodeEngines
 	if !p.mayRetryOnNewEngine(req) { // quiet engines fit too, but may not be sent to
-		candidates = slices.DeleteFunc(slices.Clone(candidates), func(e *engine) bool { return !p.mayRetryOn(req, e) })
+		forbidden := func(e *engine) bool { return !p.mayRetryOn(req, e) }
+		candidates = &engineGroup{engines: slices.DeleteFunc(slices.Clone(candidates.engines), forbidden)}
 	}
 	ready := p.usableEngines(req, candidates, func(e *engine) bool {
 		return e.fullUntil <= p.now && p.hasCapacity(req, e)
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -60,6 +60,12 @@
 	p.orderEngines()
 }
 
+// engineGroup is engines of one role that are ready, in order of IDs.
+type engineGroup struct {
+	engines []*engine
+	closed  slowStartClosure
+}
+
 // removeEngine notes that an engine is not in the endpoint list any more.
 func (p *Policy) removeEngine(id string, e *engine) {
 	e.Ready = false
@@ -77,13 +83,14 @@
 		p.ordered = slices.AppendSeq(p.ordered[:0], maps.Values(p.engines))
 		slices.SortFunc(p.ordered, func(x, y *engine) int { return cmp.Compare(x.Engine, y.Engine) })
 	}
-	p.prefillEngines, p.decodeEngines = p.prefillEngines[:0], p.decodeEngines[:0]
+	p.prefillEngines = engineGroup{engines: p.prefillEngines.engines[:0]}
+	p.decodeEngines = engineGroup{engines: p.decodeEngines.engines[:0]}
 	for _, e := range p.ordered {
 		if e.Ready && e.canPrefill {
-			p.prefillEngines = append(p.prefillEngines, e)
+			p.prefillEngines.engines = append(p.prefillEngines.engines, e)
 		}
 		if e.Ready && e.canDecode {
-			p.decodeEngines = append(p.decodeEngines, e)
+			p.decodeEngines.engines = append(p.decodeEngines.engines, e)
 		}
 	}
 }
--- a/internal/routing/fleet_benchmark_test.go
+++ b/internal/routing/fleet_benchmark_test.go
@@ -101,3 +101,29 @@
 		})
 	}
 }
+
+// BenchmarkRetryWithoutAnEngine is the retry of one of 200 requests that wait while all engines are warming up.
+func BenchmarkRetryWithoutAnEngine(b *testing.B) {
+	for _, engines := range []int{100, 400, 1600, 3200} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			n := newFleetNode(b, engines, 1)
+			var retries []int64 // tokens of timers
+			collect := func(actions []Action) {
+				for _, action := range actions {
+					if timer, ok := action.(StartTimer); ok && timer.After == retryDelay {
+						retries = append(retries, timer.Token)
+					}
+				}
+			}
+			for id := range int64(200) {
+				collect(n.policy.Step(n.now, RequestArrived{RequestID: 10_000 + id, Session: fmt.Sprint("x", id), Deadline: n.now + time.Hour, PromptTokens: 100}))
+			}
+			for b.Loop() {
+				n.now += 150 * time.Microsecond
+				token := retries[0]
+				retries = retries[1:]
+				collect(n.policy.Step(n.now, TimerFired{Token: token}))
+			}
+		})
+	}
+}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -60,7 +60,7 @@
 		return cannotMeetObjective
 	}
 	p.recentPrefixes = appendBounded(p.recentPrefixes, req.Prefix, 64)
-	ready := p.usableEngines(req, p.prefillEngines, everyEngine)
+	ready := p.usableEngines(req, &p.prefillEngines, everyEngine)
 	preferred := p.preferredEngines(req, ready)
 	if len(preferred) > 0 {
 		req.prefillEngine = preferred[0].Engine
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -63,15 +63,20 @@
 	return e.removedAt > 0 && p.now-e.removedAt > faultWindow && len(e.open) == 0
 }
 
-// usableEngines are those of some ready engines that fit and are healthy, in their order. Where none is healthy,
-// the best that fit are. Whether a quiet engine fits is not asked.
-func (p *Policy) usableEngines(req *request, engines []*engine, fits func(*engine) bool) []*engine {
-	fitting := make([]*engine, 0, len(engines))
+// usableEngines are those of a group that fit and are healthy, in their order. Where none is healthy, the best that
+// fit are. Whether a quiet engine fits is not asked.
+func (p *Policy) usableEngines(req *request, group *engineGroup, fits func(*engine) bool) []*engine {
+	if p.isClosed(group) {
+		return nil
+	}
+	fitting := make([]*engine, 0, len(group.engines))
 	usual := usualHealth{}
-	for _, e := range engines {
+	closed := 0
+	for _, e := range group.engines {
 		warmingUp := p.warmingUp(e)
 		switch {
 		case warmingUp && !p.withinSlowStart(e):
+			closed++
 		case !warmingUp && p.isQuiet(e):
 			fitting = append(fitting, e)
 			usual.faultless++
@@ -80,6 +85,9 @@
 			usual.add(p, e)
 		}
 	}
+	if closed > 0 && closed == len(group.engines) {
+		group.closed = p.closure(group.engines)
+	}
 	healthy := p.healthyEngines(req, fitting, &usual)
 	if len(healthy) > 0 {
 		return healthy
--- a/internal/routing/outlier_test.go
+++ b/internal/routing/outlier_test.go
@@ -56,7 +56,7 @@
 		n.policy.engines[id].latencySamples = []sample{{n.now, latency * ms}}
 	}
 	req := &request{RequestArrived: RequestArrived{PromptTokens: 2000}}
-	for _, e := range n.policy.usableEngines(req, n.policy.prefillEngines, everyEngine) {
+	for _, e := range n.policy.usableEngines(req, &n.policy.prefillEngines, everyEngine) {
 		if e.Engine == "r3" {
 			t.Error("the slow one is as good as the others")
 		}
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -16,11 +16,11 @@
 	actions   []Action // of the current step
 
 	engines        map[string]*engine
-	ordered        []*engine // all, by ID
-	prefillEngines []*engine // those that are ready and can prefill, by ID
-	decodeEngines  []*engine // those that are ready and can decode, by ID
-	updates        uint64    // of the endpoint list
-	reordered      bool      // engines have come or gone since ordered was renewed
+	ordered        []*engine   // all, by ID
+	prefillEngines engineGroup // those that are ready and can prefill
+	decodeEngines  engineGroup // those that are ready and can decode
+	updates        uint64      // of the endpoint list
+	reordered      bool        // engines have come or gone since ordered was renewed
 
 	requests   map[int64]*request
 	timers     timerTable
--- a/internal/routing/prefill.go
+++ b/internal/routing/prefill.go
@@ -28,7 +28,7 @@
 // pickPrefill takes the first that there is of: the session's engine, a preferred engine, one with the prompt
 // cached and under the load cap, the prefix's by hash, the least loaded.
 func (p *Policy) pickPrefill(req *request) *engine {
-	ready := p.usableEngines(req, p.prefillEngines, everyEngine)
+	ready := p.usableEngines(req, &p.prefillEngines, everyEngine)
 	if len(ready) == 0 {
 		return nil
 	}
--- a/internal/routing/reference_test.go
+++ b/internal/routing/reference_test.go
@@ -24,8 +24,8 @@
 		checkEngine(t, p, e)
 	}
 	request := &request{}
-	for name, engines := range map[string][]*engine{"prefill": p.prefillEngines, "decode": p.decodeEngines} {
-		if got, want := p.usableEngines(request, engines, everyEngine), scanUsable(p, request, engines); !slices.Equal(got, want) {
+	for name, group := range map[string]*engineGroup{"prefill": &p.prefillEngines, "decode": &p.decodeEngines} {
+		if got, want := p.usableEngines(request, group, everyEngine), scanUsable(p, request, group.engines); !slices.Equal(got, want) {
 			t.Fatalf("usable for %s: %v, by a scan %v", name, engineIDs(got), engineIDs(want))
 		}
 	}
@@ -53,8 +53,8 @@
 			decode = append(decode, e)
 		}
 	}
-	if !slices.Equal(p.prefillEngines, prefill) || !slices.Equal(p.decodeEngines, decode) {
-		t.Fatalf("by role %v and %v, by a scan %v and %v", engineIDs(p.prefillEngines), engineIDs(p.decodeEngines), engineIDs(prefill), engineIDs(decode))
+	if !slices.Equal(p.prefillEngines.engines, prefill) || !slices.Equal(p.decodeEngines.engines, decode) {
+		t.Fatalf("by role %v and %v, by a scan %v and %v", engineIDs(p.prefillEngines.engines), engineIDs(p.decodeEngines.engines), engineIDs(prefill), engineIDs(decode))
 	}
 }
 
--- a/internal/routing/slowstart.go
+++ b/internal/routing/slowstart.go
@@ -108,3 +108,41 @@
 	}
 	return rates
 }
+
+// slowStartClosure says that each engine of a group is warming up and may not be sent anything now. It holds until
+// the time, unless what engines did for this node is counted anew: requests that wait for an engine ask often.
+type slowStartClosure struct {
+	until  time.Duration
+	counts int // of the rates that it was found with
+}
+
+// isClosed is whether all engines of a group are known to be closed.
+func (p *Policy) isClosed(group *engineGroup) bool {
+	ratesHold := p.slowStartRates.valid && p.now < p.slowStartRates.until
+	return p.now < group.closed.until && ratesHold && group.closed.counts == p.slowStartRates.counts
+}
+
+// closure is that of engines which all are closed now.
+func (p *Policy) closure(engines []*engine) slowStartClosure {
+	closed := slowStartClosure{until: math.MaxInt64, counts: p.slowStartRates.counts}
+	for _, e := range engines {
+		closed.until = min(closed.until, p.mayReopenAt(e))
+	}
+	return closed
+}
+
+// mayReopenAt is the earliest time at which an engine that is closed may be sent something, if no rate changes: with
+// the next lots, once a send is long enough ago, or when it is warm.
+func (p *Policy) mayReopenAt(e *engine) time.Duration {
+	window := max(4, p.config.SlowStart.Window)
+	nextLots := time.Duration(int64(4*p.now/window)+1) * window / 4
+	at := min(nextLots, e.warmingSince+p.config.SlowStart.Duration)
+	if sends := int(p.countSince(e.sendTimes, window)); sends > 0 {
+		oldest, last := e.sendTimes[len(e.sendTimes)-sends], e.sendTimes[len(e.sendTimes)-1]
+		at = min(at, oldest+window)
+		if idleAt := last + window/4; idleAt > p.now {
+			at = min(at, idleAt)
+		}
+	}
+	return at
+}
--- a/internal/routing/slowstart_test.go
+++ b/internal/routing/slowstart_test.go
@@ -141,3 +141,23 @@
 		}
 	}
 }
+
+func TestRequestsThatWaitForAClosedFleetAreNotScannedAgainUntilTheNextLots(t *testing.T) {
+	n := newFleetNode(t, 3200, 1)
+	p := n.policy
+	window := p.config.SlowStart.Window
+	for range 20 {
+		n.now += time.Millisecond
+		n.lastID++
+		sent := n.step(RequestArrived{RequestID: n.lastID, Session: fmt.Sprint(n.lastID), Deadline: n.now + time.Hour, PromptTokens: 100})
+		if sent == "" {
+			break // all places are given out
+		}
+	}
+	if !p.isClosed(&p.prefillEngines) {
+		t.Fatal("a fleet that is warming up without a place counts as open")
+	}
+	if p.now = n.now.Truncate(window/4) + window/4; p.isClosed(&p.prefillEngines) {
+		t.Fatal("a fleet counts as closed after the next lots")
+	}
+}
