--- a/internal/routing/decode.go
+++ b/internal/routing/decode.go
@@ -73,7 +73,7 @@
 	memory := p.config.kind(e.Kind).MemoryTokens
 	used := l.promptTokens * float64(p.config.Nodes)
 	if p.hasFreshLoad(e) {
-		used = e.memoryShare*memory + l.unreportedTokens
+		used = e.memoryShare*memory + e.unreportedTokens()
 	}
 	waited := req.idleSince > 0 && float64(p.now-req.idleSince) > 0.75*float64(p.config.ReservationLimit)
 	return memory == 0 || waited || used == 0 || used+req.PromptTokens < 1.05*memory
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -25,7 +25,7 @@
 	healthyAt      time.Duration // when it last answered an attempt
 	removedAt      time.Duration // since when it is not in the endpoint list; 0 while it is
 	listedIn       uint64        // the update that listed it last
-	open           []openAttempt // in flight, in the order of their sends
+	open           openAttempts
 	lot            slowStartLot
 
 	memoryShare float64 // by the last report
--- a/internal/routing/engine_load.go
+++ b/internal/routing/engine_load.go
@@ -10,7 +10,6 @@
 type engineLoad struct {
 	prefills, streams int
 	promptTokens      float64         // of the streams
-	unreportedTokens  float64         // of the streams that a report may not count yet
 	waits             []time.Duration // of the attempts without a response
 }
 
@@ -22,48 +21,82 @@
 
 func (o openAttempt) attempt() *attempt { return &o.request.attempts[o.index] }
 
-// loadOf counts what this node has open at an engine.
-func (p *Policy) loadOf(e *engine) (load engineLoad) {
-	for _, open := range e.open {
-		load.add(open.attempt(), open.request.PromptTokens, e.reportedAt, p.now)
+// openAttempts are those in flight at one engine, with their sums.
+type openAttempts struct {
+	all          []openAttempt // in the order of their sends
+	unanswered   []openAttempt // those that are not streaming
+	streams      int           // decodes among all
+	promptTokens float64       // of the decodes
+}
+
+// loadOf is what this node has open at an engine.
+func (p *Policy) loadOf(e *engine) engineLoad {
+	open := &e.open
+	if len(open.all) == 0 {
+		return engineLoad{}
+	}
+	load := engineLoad{prefills: len(open.all) - open.streams, streams: open.streams, promptTokens: open.promptTokens}
+	for _, unanswered := range open.unanswered {
+		load.waits = append(load.waits, p.now-unanswered.attempt().sentAt)
 	}
 	return load
 }
 
-// add counts one attempt that is in flight.
-func (l *engineLoad) add(a *attempt, promptTokens float64, reportedAt, now time.Duration) {
-	if a.decode {
-		l.streams++
-		l.promptTokens += promptTokens
-		if a.sentAt > reportedAt-reportDelay {
-			l.unreportedTokens += promptTokens
+// unreportedTokens counts the prompt tokens of the decodes that an engine's report may not count yet.
+func (e *engine) unreportedTokens() (promptTokens float64) {
+	for _, open := range slices.Backward(e.open.all) {
+		att := open.attempt()
+		if att.sentAt <= e.reportedAt-reportDelay {
+			break
+		}
+		if att.decode {
+			promptTokens += open.request.PromptTokens
 		}
-	} else {
-		l.prefills++
-	}
-	if !a.streaming {
-		l.waits = append(l.waits, now-a.sentAt)
 	}
+	return promptTokens
 }
 
 // noteOpen adds the last attempt of a request to those in flight at its engine.
 func (e *engine) noteOpen(req *request) {
 	e.quiet = false
-	e.open = append(e.open, openAttempt{req, len(req.attempts) - 1})
+	opened := openAttempt{req, len(req.attempts) - 1}
+	e.open.all, e.open.unanswered = append(e.open.all, opened), append(e.open.unanswered, opened)
+	if opened.attempt().decode {
+		e.open.streams++
+		e.open.promptTokens += req.PromptTokens
+	}
+}
+
+// noteStreaming notes that an attempt has its first token.
+func (e *engine) noteStreaming(req *request, index int) {
+	e.open.unanswered = withoutAttempt(e.open.unanswered, openAttempt{req, index})
 }
 
 // noteClosed takes an attempt of a request off those in flight.
 func (e *engine) noteClosed(req *request, index int) {
-	e.open = slices.DeleteFunc(e.open, func(o openAttempt) bool { return o.request == req && o.index == index })
+	closed := openAttempt{req, index}
+	e.open.all, e.open.unanswered = withoutAttempt(e.open.all, closed), withoutAttempt(e.open.unanswered, closed)
+	if closed.attempt().decode {
+		e.open.streams--
+		e.open.promptTokens -= req.PromptTokens
+	}
+	if e.open.streams == 0 {
+		e.open.promptTokens = 0 // nothing is left of rounding
+	}
+}
+
+func withoutAttempt(attempts []openAttempt, gone openAttempt) []openAttempt {
+	if i := slices.Index(attempts, gone); i >= 0 {
+		return slices.Delete(attempts, i, i+1)
+	}
+	return attempts
 }
 
 // unansweredRequests are the requests whose attempt is in flight at an engine and not streaming, in order of
 // their IDs.
 func (e *engine) unansweredRequests() (found []*request) {
-	for _, open := range e.open {
-		if !open.attempt().streaming {
-			found = append(found, open.request)
-		}
+	for _, open := range e.open.unanswered {
+		found = append(found, open.request)
 	}
 	slices.SortFunc(found, func(x, y *request) int { return cmp.Compare(x.RequestID, y.RequestID) })
 	return found
--- a/internal/routing/healthcheck.go
+++ b/internal/routing/healthcheck.go
@@ -17,7 +17,7 @@
 	default:
 		e.unresponsiveAt = p.now
 	}
-	for _, req := range p.requestsWhere(func(req *request) bool { return req.checkAnswered(result.Engine) }) {
+	for _, req := range p.checkAnswered(result.Engine) {
 		p.fire(req, loadKnown)
 		p.forgetIfDone(req)
 	}
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -130,6 +130,7 @@
 			req.awaitedEngines = append(req.awaitedEngines, e.Engine)
 		}
 	}
+	p.noteAwaiting(req)
 	if len(req.awaitedEngines) == 0 {
 		return loadKnown
 	}
--- a/internal/routing/outcome.go
+++ b/internal/routing/outcome.go
@@ -6,6 +6,9 @@
 // came.
 func (p *Policy) handleFirstToken(req *request, first FirstToken) {
 	att := &req.attempts[first.Attempt]
+	if e := p.engines[att.engine]; e != nil && !att.streaming {
+		e.noteStreaming(req, first.Attempt)
+	}
 	att.streaming = true
 	p.recordLatency(p.engines[first.Engine], first.Latency, att.sentAt)
 	p.affinities[req.Session] = affinity{req.prefillEngine, first.Engine, p.now}
--- a/internal/routing/outlier.go
+++ b/internal/routing/outlier.go
@@ -60,7 +60,7 @@
 // expired is whether an engine was removed so long ago that its faults do not count any more, and has nothing
 // in flight. Engines that are always replaced would else be remembered for ever.
 func (p *Policy) expired(e *engine) bool {
-	return e.removedAt > 0 && p.now-e.removedAt > faultWindow && len(e.open) == 0
+	return e.removedAt > 0 && p.now-e.removedAt > faultWindow && len(e.open.all) == 0
 }
 
 // usableEngines are those of a group that fit and are healthy, in their order. Where none is healthy, the best that
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -23,6 +23,8 @@
 	reordered      bool        // engines have come or gone since ordered was renewed
 
 	requests   map[int64]*request
+	reserved   map[int64]*request // those in state reserved
+	awaiting   map[int64]*request // those that wait for health checks
 	timers     timerTable
 	cache      prefixCache
 	affinities affinityTable
@@ -43,6 +45,7 @@
 // New returns the policy of one node that has just started.
 func New(seed uint64, config Config) *Policy {
 	return &Policy{config: &config, engines: map[string]*engine{}, requests: map[int64]*request{},
+		reserved: map[int64]*request{}, awaiting: map[int64]*request{},
 		timers: timerTable{pending: map[int64]timer{}}, cache: newPrefixCache(),
 		affinities: affinityTable{}, random: newRandomSource(seed)}
 }
@@ -130,6 +133,7 @@
 		return
 	}
 	delete(p.requests, req.RequestID)
+	delete(p.awaiting, req.RequestID)
 	for _, token := range req.timers {
 		delete(p.timers.pending, token)
 	}
--- a/internal/routing/quiet.go
+++ b/internal/routing/quiet.go
@@ -7,7 +7,7 @@
 func (p *Policy) isQuiet(e *engine) bool { return e.quiet || p.becomesQuiet(e) }
 
 func (p *Policy) becomesQuiet(e *engine) bool {
-	e.quiet = len(e.open) == 0 && !e.suspect && e.fullUntil <= p.now &&
+	e.quiet = len(e.open.all) == 0 && !e.suspect && e.fullUntil <= p.now &&
 		p.countSince(e.faultTimes, faultWindow) == 0 && !p.mayHaveLatency(e, engineLoad{})
 	return e.quiet
 }
--- a/internal/routing/reference_test.go
+++ b/internal/routing/reference_test.go
@@ -18,6 +18,7 @@
 // checkIndexes compares all indexes of a policy with a scan.
 func checkIndexes(t *rapid.T, p *Policy) {
 	t.Helper()
+	checkRequests(t, p)
 	checkEngineLists(t, p)
 	checkCacheIndexes(t, p)
 	for _, e := range p.ordered {
@@ -31,6 +32,22 @@
 	}
 }
 
+func checkRequests(t *rapid.T, p *Policy) {
+	t.Helper()
+	reservedRequests, awaiting := map[int64]*request{}, map[int64]*request{}
+	for id, req := range p.requests {
+		if req.state == reserved {
+			reservedRequests[id] = req
+		}
+		if len(req.awaitedEngines) > 0 {
+			awaiting[id] = req
+		}
+	}
+	if !maps.Equal(p.reserved, reservedRequests) || !maps.Equal(p.awaiting, awaiting) {
+		t.Fatalf("reserved %v, awaiting %v, by a scan %v and %v", p.reserved, p.awaiting, reservedRequests, awaiting)
+	}
+}
+
 func engineIDs(engines []*engine) (ids []string) {
 	for _, e := range engines {
 		ids = append(ids, e.Engine)
@@ -82,15 +99,15 @@
 
 func checkEngine(t *rapid.T, p *Policy, e *engine) {
 	t.Helper()
-	load := scanLoad(p, e)
+	load, unreported := scanLoad(p, e)
 	got := p.loadOf(e)
 	slices.Sort(got.waits)
 	slices.Sort(load.waits)
-	if !reflect.DeepEqual(got, load) {
-		t.Fatalf("load of %s: %v, by a scan %v", e.Engine, got, load)
+	if !reflect.DeepEqual(got, load) || e.unreportedTokens() != unreported {
+		t.Fatalf("load of %s: %v and %v unreported, by a scan %v and %v", e.Engine, got, e.unreportedTokens(), load, unreported)
 	}
 	latency, known := p.latency(e, load)
-	if p.isQuiet(e) && (known || latency != 0 || e.suspect || len(e.open) > 0 || e.fullUntil > p.now || scanCount(p, e.faultTimes, faultWindow) > 0) {
+	if p.isQuiet(e) && (known || latency != 0 || e.suspect || len(e.open.all) > 0 || e.fullUntil > p.now || scanCount(p, e.faultTimes, faultWindow) > 0) {
 		t.Fatalf("%s counts as quiet: %+v, latency %v %v", e.Engine, e, latency, known)
 	}
 	if got, want := p.slowStartRate(e), scanSlowStartRate(p, e); got != want {
@@ -99,15 +116,31 @@
 }
 
 // scanLoad counts the attempts of all requests.
-func scanLoad(p *Policy, e *engine) (load engineLoad) {
+func scanLoad(p *Policy, e *engine) (load engineLoad, unreported float64) {
 	for _, req := range p.requests {
 		for i := range req.attempts {
 			if a := &req.attempts[i]; a.inFlight && a.engine == e.Engine {
-				load.add(a, req.PromptTokens, e.reportedAt, p.now)
+				addLoad(&load, a, req.PromptTokens, p.now)
+				if a.decode && a.sentAt > e.reportedAt-reportDelay {
+					unreported += req.PromptTokens
+				}
 			}
 		}
 	}
-	return load
+	return load, unreported
+}
+
+// addLoad counts one attempt that is in flight.
+func addLoad(l *engineLoad, a *attempt, promptTokens float64, now time.Duration) {
+	if a.decode {
+		l.streams++
+		l.promptTokens += promptTokens
+	} else {
+		l.prefills++
+	}
+	if !a.streaming {
+		l.waits = append(l.waits, now-a.sentAt)
+	}
 }
 
 func scanCount(p *Policy, times []time.Duration, span time.Duration) (n float64) {
@@ -138,14 +171,15 @@
 			continue
 		}
 		fitting, faults = append(fitting, e), append(faults, int64(scanCount(p, e.faultTimes, faultWindow)))
-		if latency, known := p.latency(e, scanLoad(p, e)); known {
+		load, _ := scanLoad(p, e)
+		if latency, known := p.latency(e, load); known {
 			latencies = append(latencies, latency)
 		}
 	}
 	slices.Sort(latencies)
 	usualLatency, usualFaults := median(latencies[:max(0, len(latencies)-1)]), float64(median(faults))
 	for _, e := range fitting {
-		if p.isHealthy(req, e, scanLoad(p, e), usualLatency, usualFaults) {
+		if load, _ := scanLoad(p, e); p.isHealthy(req, e, load, usualLatency, usualFaults) {
 			healthy = append(healthy, e)
 		}
 	}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -129,24 +129,34 @@
 	return i >= 0 && len(r.awaitedEngines) == 0
 }
 
-// requestsWhere are the requests that fit, in order of their IDs.
-func (p *Policy) requestsWhere(fits func(*request) bool) []*request {
-	var found []*request
-	for _, req := range p.requests {
-		if fits(req) {
+// noteAwaiting notes whether a request waits for health checks.
+func (p *Policy) noteAwaiting(req *request) {
+	if len(req.awaitedEngines) > 0 {
+		p.awaiting[req.RequestID] = req
+	} else {
+		delete(p.awaiting, req.RequestID)
+	}
+}
+
+// checkAnswered are the requests for which the health check of an engine was the last that they waited for, in order of
+// their IDs.
+func (p *Policy) checkAnswered(engine string) (found []*request) {
+	for _, req := range p.awaiting {
+		if req.checkAnswered(engine) {
 			found = append(found, req)
 		}
 	}
+	for _, req := range found {
+		p.noteAwaiting(req)
+	}
 	slices.SortFunc(found, func(x, y *request) int { return cmp.Compare(x.RequestID, y.RequestID) })
 	return found
 }
 
 // reservationWaits is for how long each reservation has waited for a decode engine.
 func (p *Policy) reservationWaits() (waits []time.Duration) {
-	for _, req := range p.requests {
-		if req.state == reserved {
-			waits = append(waits, p.now-req.idleSince)
-		}
+	for _, req := range p.reserved {
+		waits = append(waits, p.now-req.idleSince)
 	}
 	return waits
 }
--- a/internal/routing/transitions.go
+++ b/internal/routing/transitions.go
@@ -47,7 +47,8 @@
 		if i < 0 {
 			return
 		}
-		req.state, req.lastTrigger, event = transitions[i].next, event, noTrigger
+		p.enter(req, transitions[i].next)
+		req.lastTrigger, event = event, noTrigger
 		p.firedTransitions |= 1 << i
 		if transitions[i].run != nil {
 			event = transitions[i].run(p, req)
@@ -55,6 +56,16 @@
 	}
 }
 
+// enter puts a request into a state.
+func (p *Policy) enter(req *request, next state) {
+	req.state = next
+	if next == reserved {
+		p.reserved[req.RequestID] = req
+	} else {
+		delete(p.reserved, req.RequestID)
+	}
+}
+
 // handleEndpoints takes over a watch event, and watches again after one that failed.
 func (p *Policy) handleEndpoints(update EndpointUpdate) {
 	if !update.Failed {
