--- a/cmd/sandcourse-edge/large_fleet_test.go
+++ b/cmd/sandcourse-edge/large_fleet_test.go
@@ -1,22 +1,18 @@
 package main_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"sandcourse/internal/audit"
+	"sandcourse/internal/fake/discoveryagent"
+	"sandcourse/internal/fake/platformclient"
 	"sandcourse/internal/fake/platformengine"
-	"sandcourse/internal/protocol/chat"
-	"sandcourse/internal/protocol/platform"
+	"sandcourse/internal/soak"
 )
 
 // The platform's terms, for what the tests of this file check.
@@ -36,78 +32,10 @@
 // fleetNodes is how many nodes the settings tell of.
 const fleetNodes = 300
 
-// changingAgent is a discovery agent whose list changes.
-type changingAgent struct {
-	mu         sync.Mutex
-	generation int
-	entries    map[string]string // by ID
-	changedAt  map[string]int    // the generation of the last change, by ID
-	updated    chan struct{}     // closed at the next change
-}
-
-func newChangingAgent(t *testing.T) (agent *changingAgent, address string) {
-	agent = &changingAgent{entries: map[string]string{}, changedAt: map[string]int{}, updated: make(chan struct{})}
-	server := httptest.NewServer(agent)
-	t.Cleanup(server.Close)
-	return agent, strings.TrimPrefix(server.URL, "http://")
-}
-
-// update publishes entries by ID.
-func (a *changingAgent) update(entries map[string]string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.generation++
-	for id, entry := range entries {
-		a.entries[id], a.changedAt[id] = entry, a.generation
-	}
-	close(a.updated)
-	a.updated = make(chan struct{})
-}
-
-// list is what an agent answers to one that knows a generation; complete where that is 0.
-func (a *changingAgent) list(known int) (text string, updated <-chan struct{}) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var instances []string
-	for id, entry := range a.entries {
-		if known == 0 || a.changedAt[id] > known {
-			instances = append(instances, entry)
-		}
-	}
-	return fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, a.generation, known == 0, strings.Join(instances, ",")), a.updated
-}
-
-func (a *changingAgent) current() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.generation
-}
-
-func (a *changingAgent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	known, _ := strconv.Atoi(r.URL.Query().Get("index"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-	end := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		text, updated := a.list(known)
-		if known == 0 || a.current() > known {
-			fmt.Fprint(w, text)
-			return
-		}
-		select {
-		case <-updated:
-		case <-end:
-			fmt.Fprint(w, text)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // largeFleet is one edge as a process, and many engines with a discovery agent whose list changes.
 type largeFleet struct {
 	*edgeProcesses
-	agent   *changingAgent
+	agent   *discoveryagent.Agent
 	engines []*platformengine.Engine
 }
 
@@ -130,11 +58,14 @@
 		f.engines = append(f.engines, e)
 		entries[e.ID] = e.Entry()
 	}
-	agent, address := newChangingAgent(t)
+	agent, err := discoveryagent.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Stop)
 	f.agent = agent
-	agent.update(entries)
-	list, _ := agent.list(0)
-	f.startEdge(edgeBinary(t), 0, fleetNodes, address, list, nil)
+	agent.Update(entries)
+	f.startEdge(edgeBinary(t), 0, fleetNodes, agent.Address, agent.Snapshot(), nil)
 	f.awaitReady(f.addresses[0])
 	return f
 }
@@ -152,7 +83,7 @@
 			f.log.RecordReadiness(audit.ReadinessChange{At: time.Now(), Engine: back.ID, Ready: true})
 			f.log.RecordReadiness(audit.ReadinessChange{At: time.Now(), Engine: leaving.ID})
 		}
-		f.agent.update(entries)
+		f.agent.Update(entries)
 		select {
 		case <-time.After(interval):
 		case <-ctx.Done():
@@ -160,69 +91,9 @@
 	}
 }
 
-// sendAtRate sends requests at a rate for a time, each as an own client does, and waits for all answers.
+// sendAtRate sends requests at a rate for a time, and waits for all answers.
 func (f *largeFleet) sendAtRate(name string, perSecond int, length, deadline time.Duration) (sent int) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
-	defer client.CloseIdleConnections()
-	var all sync.WaitGroup
-	interval := time.Second / time.Duration(perSecond)
-	start := time.Now()
-	for at := time.Duration(0); at < length; at += interval {
-		time.Sleep(time.Until(start.Add(at)))
-		id := fmt.Sprintf("%s%d", name, sent)
-		sent++
-		all.Go(func() { f.send(client, id, deadline) })
-	}
-	all.Wait()
-	return sent
-}
-
-// send sends one request and records what its client sees.
-func (f *largeFleet) send(client *http.Client, id string, deadline time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), deadline+5*time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.addresses[0]+platform.CompletionsPath, strings.NewReader(`{"model":"chat"}`))
-	if err != nil {
-		f.t.Error(err)
-		return
-	}
-	for field, value := range map[string]string{platform.HeaderRequestID: id, platform.HeaderRequestClass: "chat",
-		platform.HeaderAffinityKey: "s" + id, platform.HeaderTimeout: fmt.Sprintf("%.3f", deadline.Seconds())} {
-		r.Header.Set(field, value)
-	}
-	r.Header["X-Idempotency-Key"] = nil // a request that crosses the close of an idle connection is sent once more
-	record := audit.ClientRecord{ClientRequestID: id, RequestID: id, Route: "chat", Edge: "n0", Sent: time.Now(), Deadline: time.Now().Add(deadline)}
-	defer func() { record.End = time.Now(); f.log.RecordClient(record) }()
-	answer, err := client.Do(r)
-	if err != nil {
-		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
-		return
-	}
-	defer answer.Body.Close()
-	readAnswer(answer, &record)
-}
-
-// readAnswer reads an answer to its end.
-func readAnswer(answer *http.Response, record *audit.ClientRecord) {
-	record.OutcomeCount, record.Outcome = 1, audit.OutcomeErrored
-	if answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests {
-		record.Outcome = audit.OutcomeShed
-	}
-	lines := bufio.NewScanner(answer.Body)
-	for lines.Scan() {
-		if answer.StatusCode != http.StatusOK {
-			continue
-		}
-		if record.FirstToken == 0 {
-			record.FirstToken = time.Since(record.Sent)
-		}
-		if lines.Text() == "data: "+chat.Done {
-			record.Outcome = audit.OutcomeCompleted
-		}
-	}
-	if err := lines.Err(); err != nil {
-		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
-	}
+	return platformclient.Client{Address: f.addresses[0], Class: "chat", Log: f.log}.SendAtRate(name, perSecond, length, deadline)
 }
 
 // checkAll checks the rules, the end of each stream and the share that was served.
@@ -265,17 +136,6 @@
 	f.t.Logf("%d of %d served, slowest first token %v, slowest end %v", completed, sent, slowestToken, slowestEnd)
 }
 
-// throttle gives a process a share of a core, by stopping it for the rest of each period.
-func throttle(ctx context.Context, pid int, share float64, period time.Duration) {
-	running := time.Duration(share * float64(period))
-	for ctx.Err() == nil {
-		syscall.Kill(pid, syscall.SIGSTOP)
-		time.Sleep(period - running)
-		syscall.Kill(pid, syscall.SIGCONT)
-		time.Sleep(running)
-	}
-}
-
 func TestRollingReplacementOfALargeFleetDelaysNoRequest(t *testing.T) {
 	const engines, perSecond, lasts, share = 1600, 40, 6 * time.Second, 0.4 // of a core, as the deployment allows
 	f := startLargeFleet(t, engines, longObjective)
@@ -283,7 +143,7 @@
 	defer stop()
 	go f.replaceHalf(ctx, 300*time.Millisecond)
 	var throttled sync.WaitGroup
-	throttled.Go(func() { throttle(ctx, f.pids[0], share, 40*time.Millisecond) })
+	throttled.Go(func() { soak.Throttle(ctx, f.pids[0], share) })
 	f.checkAll(f.sendAtRate("q", perSecond, lasts, 4800*time.Millisecond))
 	throttled.Wait()
 }
@@ -294,7 +154,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var throttled sync.WaitGroup
-	throttled.Go(func() { throttle(ctx, f.pids[0], share, 40*time.Millisecond) })
+	throttled.Go(func() { soak.Throttle(ctx, f.pids[0], share) })
 	var burst sync.WaitGroup
 	burst.Go(func() { f.sendAtRate("burst", 1500, 2*time.Second, 4800*time.Millisecond) })
 	time.Sleep(2*time.Second + 500*time.Millisecond)
--- /dev/null
+++ b/internal/fake/discoveryagent/agent.go
@@ -0,0 +1,101 @@
+// Package discoveryagent is a fake of the operators' discovery agent on a loopback socket, whose list a test changes.
+package discoveryagent
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const readHeaderTimeout = 10 * time.Second
+
+// Agent serves an endpoint list and the changes of it.
+type Agent struct {
+	Address string
+
+	server     *http.Server
+	mu         sync.Mutex
+	generation int
+	entries    map[string]entry // by ID
+	updated    chan struct{}    // closed at the next change
+}
+
+// entry is an instance of the list.
+type entry struct {
+	text       string // in the form of discovery
+	generation int    // of its last change
+}
+
+// Start starts an agent with an empty list.
+func Start() (*Agent, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("fake discovery agent: %w", err)
+	}
+	a := &Agent{Address: listener.Addr().String(), entries: map[string]entry{}, updated: make(chan struct{})}
+	a.server = &http.Server{Handler: http.HandlerFunc(a.serveList), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = a.server.Serve(listener) }() // ends with http.ErrServerClosed
+	return a, nil
+}
+
+// Stop ends it; its connections are closed.
+func (a *Agent) Stop() { a.server.Close() }
+
+// Update publishes instances, in the form of discovery, by ID.
+func (a *Agent) Update(instances map[string]string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.generation++
+	for id, text := range instances {
+		a.entries[id] = entry{text, a.generation}
+	}
+	close(a.updated)
+	a.updated = make(chan struct{})
+}
+
+// Snapshot is the complete list.
+func (a *Agent) Snapshot() string {
+	text, _, _ := a.listSince(0)
+	return text
+}
+
+// listSince is what the agent answers to who knows a generation, whether that has changed, and what is closed when it does.
+func (a *Agent) listSince(known int) (text string, changed bool, updated <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var instances []string
+	for _, id := range slices.Sorted(maps.Keys(a.entries)) {
+		if entry := a.entries[id]; entry.generation > known {
+			instances = append(instances, entry.text)
+		}
+	}
+	text = fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, a.generation, known == 0, strings.Join(instances, ","))
+	return text, known == 0 || a.generation > known, a.updated
+}
+
+// serveList answers a request for the complete list at once, and a watch when the list changes or its time is over.
+func (a *Agent) serveList(w http.ResponseWriter, r *http.Request) {
+	known, _ := strconv.Atoi(r.URL.Query().Get("index"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for isOver := false; ; {
+		text, changed, updated := a.listSince(known)
+		if changed || isOver {
+			fmt.Fprint(w, text)
+			return
+		}
+		select {
+		case <-updated:
+		case <-end:
+			isOver = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/platformclient/client.go
@@ -0,0 +1,108 @@
+// Package platformclient is a fake client of the operators' platform, which sends requests at a rate and records what it sees
+// of their answers for package audit.
+package platformclient
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"sandcourse/internal/audit"
+	"sandcourse/internal/protocol/chat"
+	"sandcourse/internal/protocol/platform"
+)
+
+const (
+	// idleConnections are kept to one router.
+	idleConnections = 200
+	// patience is how long after a deadline a client still waits for the answer, which is late then.
+	patience = 5 * time.Second
+)
+
+// Client sends requests of one class to one router.
+type Client struct {
+	Address string // of the router
+	Class   string
+	Log     *audit.Log
+}
+
+// SendAtRate sends requests at a rate for a time, whatever becomes of those before, and waits for all answers. Their IDs are
+// the name and a number. It returns how many were sent.
+func (c Client) SendAtRate(name string, perSecond int, length, deadline time.Duration) (sent int) {
+	connections := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	defer connections.CloseIdleConnections()
+	var all sync.WaitGroup
+	interval := time.Second / time.Duration(perSecond)
+	start := time.Now()
+	for at := time.Duration(0); at < length; at += interval {
+		time.Sleep(time.Until(start.Add(at)))
+		id := fmt.Sprint(name, sent)
+		sent++
+		all.Go(func() { c.Log.RecordClient(c.send(connections, id, deadline)) })
+	}
+	all.Wait()
+	return sent
+}
+
+// send sends one request and reads its answer to the end.
+func (c Client) send(connections *http.Client, id string, deadline time.Duration) (record audit.ClientRecord) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+patience)
+	defer cancel()
+	now := time.Now()
+	record = audit.ClientRecord{ClientRequestID: id, RequestID: id, Route: c.Class, Edge: c.Address, Sent: now, Deadline: now.Add(deadline)}
+	defer func() { record.End = time.Now() }()
+	r, err := c.newRequest(ctx, id, deadline)
+	if err != nil {
+		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
+		return record
+	}
+	answer, err := connections.Do(r)
+	if err != nil {
+		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
+		return record
+	}
+	defer answer.Body.Close()
+	readAnswer(answer, &record)
+	return record
+}
+
+func (c Client) newRequest(ctx context.Context, id string, deadline time.Duration) (*http.Request, error) {
+	url := "http://" + c.Address + platform.CompletionsPath
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(`{"model":"chat"}`))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set(platform.HeaderRequestID, id)
+	r.Header.Set(platform.HeaderRequestClass, c.Class)
+	r.Header.Set(platform.HeaderAffinityKey, "s"+id)
+	r.Header.Set(platform.HeaderTimeout, fmt.Sprintf("%.3f", deadline.Seconds()))
+	r.Header["X-Idempotency-Key"] = nil // not sent: net/http sends a request once more that crosses the close of an idle connection
+	return r, nil
+}
+
+// readAnswer reads an answer to its end.
+func readAnswer(answer *http.Response, record *audit.ClientRecord) {
+	record.OutcomeCount, record.Outcome = 1, audit.OutcomeErrored
+	if answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests {
+		record.Outcome = audit.OutcomeShed
+	}
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		if answer.StatusCode != http.StatusOK {
+			continue
+		}
+		if record.FirstToken == 0 {
+			record.FirstToken = time.Since(record.Sent)
+		}
+		if lines.Text() == "data: "+chat.Done {
+			record.Outcome = audit.OutcomeCompleted
+		}
+	}
+	if err := lines.Err(); err != nil {
+		record.Outcome, record.Reason = audit.OutcomeLost, err.Error()
+	}
+}
--- a/internal/soak/edge_faults.go
+++ b/internal/soak/edge_faults.go
@@ -101,20 +101,32 @@
 	}
 }
 
-// throttlePeriod is how often an edge with a share of a core runs.
-const throttlePeriod = 40 * time.Millisecond
-
-// throttleEdge gives an edge a share of a core for a while, by stopping it for the rest of each period.
+// throttleEdge gives an edge a share of a core for a while.
 func (r *soakRun) throttleEdge(ctx context.Context, random *rand.Rand, p *edgeProcess) {
-	const leastShare = 0.1
-	share := leastShare + (0.4-leastShare)*random.Float64() // up to what the operators' deployment allows
-	end := time.Now().Add(between(random, 500*time.Millisecond, 3*time.Second))
+	const leastShare, mostShare = 0.1, 0.4 // the most is what the operators' deployment allows
+	share := leastShare + (mostShare-leastShare)*random.Float64()
+	ctx, cancel := context.WithTimeout(ctx, between(random, 500*time.Millisecond, 3*time.Second))
+	defer cancel()
 	r.noteFault("%s has %.2f of a core", p.name(), share)
+	p.mu.Lock()
+	pid := p.command.Process.Pid
+	p.mu.Unlock()
+	Throttle(ctx, pid, share)
+}
+
+// throttlePeriod is how often a process with a share of a core runs.
+const throttlePeriod = 40 * time.Millisecond
+
+// Throttle gives a process a share of a core until ctx ends, by stopping it for the rest of each period. It ends early where
+// the process has ended.
+func Throttle(ctx context.Context, pid int, share float64) {
 	running := time.Duration(share * float64(throttlePeriod))
-	for time.Now().Before(end) && ctx.Err() == nil {
-		p.signal(syscall.SIGSTOP)
+	for ctx.Err() == nil {
+		if syscall.Kill(pid, syscall.SIGSTOP) != nil {
+			return
+		}
 		time.Sleep(throttlePeriod - running)
-		p.signal(syscall.SIGCONT)
+		_ = syscall.Kill(pid, syscall.SIGCONT) // fails where it has been killed meanwhile
 		time.Sleep(running)
 	}
 }
