Edge: lists that come while a list is applied keep their order

The third was run within the first, over the memory of the second: the owner ended with a nil task, and without that the second, older list would have been the last one. TestListsThatComeWhileAListIsAppliedKeepTheirOrder: panic before. A list that comes meanwhile now waits for the end of the one before. Gauges and the log of a late owner are no longer put off until its inbox is empty.

--- a/internal/edge/late_owner_test.go
+++ b/internal/edge/late_owner_test.go
@@ -153,3 +153,48 @@
 		t.Errorf("the next request is answered %d, %q", status, body)
 	}
 }
+
+func TestListsThatComeWhileAListIsAppliedKeepTheirOrder(t *testing.T) {
+	decode := engineAt("s-2", "m2", newScriptedEngine(t, "127.0.0.3", respondWith(completeStream)))
+	var prefills []*scriptedEngine
+	listOf := func(revision int) endpoint.List { // each has another prefill engine
+		prefills = append(prefills, newScriptedEngine(t, "127.0.0.2", respondWith(prefillDone)))
+		id := fmt.Sprint("p-", revision)
+		return endpoint.List{Revision: int64(revision), Entries: []endpoint.Entry{engineAt(id, "m1", prefills[len(prefills)-1]), decode}}
+	}
+	source := make(listSource)
+	e := newPlatformEdgeFrom(t, 1024, nil, source)
+	if err := e.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer e.Stop()
+	source <- listOf(1)
+	late := []endpoint.List{listOf(2), listOf(3), listOf(4)}
+	e.OnDecision(func(event routing.Event) {
+		if _, ok := event.(routing.EndpointUpdate); ok && len(late) == 1 {
+			last := late[0]
+			late = nil
+			source <- last
+			waitFor(t, "the last list waits for the owner", e.UrgentPending)
+		}
+	})
+	release := e.BlockOwner()
+	for range 2 {
+		source <- late[0]
+		late = late[1:]
+	}
+	waitFor(t, "two lists wait for the owner", func() bool { return e.QueuedTasks() >= 2 })
+	release()
+	waitFor(t, "the last list has come", func() bool {
+		_, err := e.Usage(context.Background())
+		return err == nil && !e.UrgentPending()
+	})
+	if status, body, err := postChat(t, e, "a", "alert"); status != 200 || err != nil || body != streamEvents {
+		t.Errorf("%d %q %v", status, body, err)
+	}
+	for i, prefill := range prefills {
+		if n := prefill.countRequests("POST"); (n == 1) != (i == 3) {
+			t.Errorf("%d prefills at the engine of list %d", n, i+1)
+		}
+	}
+}
--- a/internal/edge/owner.go
+++ b/internal/edge/owner.go
@@ -22,13 +22,14 @@
 
 // ownerLoop is the state of the goroutine that owns the router.
 type ownerLoop struct {
-	edge        *Edge
-	listTasks   []queuedTask // of this turn; the memory of all three is used again
-	engineTasks []queuedTask
-	clientTasks []queuedTask
-	nextClient  int // the first of clientTasks that has not been run
-	delay       delayReport
-	pauses      localpause.Detector
+	edge         *Edge
+	listTasks    []queuedTask // of this turn; the memory of all three is used again
+	engineTasks  []queuedTask
+	clientTasks  []queuedTask
+	nextClient   int  // the first of clientTasks that has not been run
+	runningLists bool // listTasks are being run
+	delay        delayReport
+	pauses       localpause.Detector
 	// When the present turn began, and the one before: a poller that is about to hand over what it read may have read it
 	// before the present one.
 	turnedAt, previouslyTurned int64
@@ -53,8 +54,6 @@
 		}
 		l.pauses.Look(e.clock(), due)
 		l.runTasks()
-		l.setGauges()
-		l.delay.logIfLate(e.clock())
 	}
 }
 
@@ -63,6 +62,8 @@
 func (l *ownerLoop) runTasks() {
 	for !l.edge.isStopped() {
 		l.beginTurn()
+		l.setGauges()
+		l.delay.logIfLate(l.turnedAt)
 		l.runEngineTasks()
 		if !l.runClientTasks() {
 			return
@@ -134,14 +135,19 @@
 	task.run()
 }
 
-// runLists runs what waits of endpoint lists.
+// runLists runs what waits of endpoint lists. A list that comes while another is applied waits for its end, though the policy
+// decides on the first meanwhile: lists keep their order.
 func (l *ownerLoop) runLists() {
-	if !l.edge.inbox.isWaiting(listLane) {
+	if l.runningLists {
 		return
 	}
-	l.listTasks = l.edge.inbox.take(listLane, l.listTasks)
-	for _, task := range l.listTasks {
-		l.runNow(listLane, task)
+	l.runningLists = true
+	defer func() { l.runningLists = false }()
+	for l.edge.inbox.isWaiting(listLane) {
+		l.listTasks = l.edge.inbox.take(listLane, l.listTasks)
+		for _, task := range l.listTasks {
+			l.runNow(listLane, task)
+		}
 	}
 }
 
@@ -164,9 +170,8 @@
 
 // setGauges sets the gauges when gaugeInterval has passed.
 func (l *ownerLoop) setGauges() {
-	now := l.edge.clock()
-	if now-l.gaugesSetAt >= gaugeInterval {
-		l.gaugesSetAt = now
+	if l.turnedAt-l.gaugesSetAt >= gaugeInterval {
+		l.gaugesSetAt = l.turnedAt
 		l.edge.metrics.setUsage(l.edge.router.InFlight())
 	}
 }
--- a/internal/router/request_admission.go
+++ b/internal/router/request_admission.go
@@ -107,7 +107,8 @@
 func (r *Router) arrivalOf(req *request) routing.RequestArrived {
 	call := req.received.Call
 	return routing.RequestArrived{RequestID: req.id, Route: req.route, Session: cmp.Or(call.Session, req.name), Prefix: call.Prefix,
-		Waited: time.Duration(r.now - req.arrivedAt), Deadline: time.Duration(req.deadline), PromptTokens: float64(call.PromptTokens), PrefixTokens: float64(call.PrefixTokens),
+		Waited: time.Duration(r.now - req.arrivedAt), Deadline: time.Duration(req.deadline),
+		PromptTokens: float64(call.PromptTokens), PrefixTokens: float64(call.PrefixTokens),
 		MaxOutputTokens: float64(call.MaxOutputTokens), ClientRetry: call.Idempotent, Resumed: call.Resumes}
 }
 
