--- a/cmd/sandcourse-edge/early_signal_test.go
+++ b/cmd/sandcourse-edge/early_signal_test.go
@@ -30,9 +30,13 @@
 // awaitExec returns once a process runs the edge's program and not the shell that starts it.
 func awaitExec(t *testing.T, pid int) {
 	t.Helper()
+	edge, err := os.Stat(edgeBinary(t))
+	if err != nil {
+		t.Fatal(err)
+	}
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
-		target, err := os.Readlink(filepath.Join("/proc", strconv.Itoa(pid), "exe"))
-		if err == nil && target == edgeBinary(t) {
+		program, err := os.Stat(filepath.Join("/proc", strconv.Itoa(pid), "exe"))
+		if err == nil && os.SameFile(program, edge) {
 			return
 		}
 	}
