--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -86,6 +86,10 @@
 	pause := newPausePoint(e, edge.CloseDecided)
 	startReady(t, e)
 	client := idleClient(t, e)
+	waitFor(t, "no connection but the client's is open", func() bool { // the first one closed pauses the owner
+		h, err := e.Usage(context.Background())
+		return err == nil && h.Clients == 1
+	})
 	pause.armed.Store(true)
 	drained := startDrain(e)
 	pause.wait(t)
