--- a/review/2/main.go
+++ b/review/2/main.go
@@ -18,9 +18,9 @@
 	length       = 20 * time.Second
 	rate         = 20 // requests per second of ordinary clients
 	badFrom      = 5 * time.Second
-	badClients   = 80
-	requests     = 100       // that each bad client sends at once
-	promptBytes  = 100 << 10 // text of each request; a body may have 256 KiB
+	badClients   = 150
+	requests     = 100   // that each bad client sends at once
+	padding      = 15000 // bytes of a field in the head of each; the node accepts heads of 16 KiB
 	badTime      = 10 * time.Second
 	memoryChecks = 20 * time.Millisecond
 )
@@ -94,10 +94,12 @@
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(badTime))
 	go func() {
-		body := `{"model":"chat","stream":true,"messages":[{"role":"user","content":"` + strings.Repeat("x", promptBytes) + `"}]}`
+		const body = `{"model":"chat","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+		field := strings.Repeat("x", padding)
 		for range requests {
 			_, err := fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: %016x\r\n"+
-				"Request-Class: clip-summary\r\nRequest-Timeout: 4.000\r\nContent-Length: %d\r\n\r\n%s", rand.Uint64(), len(body), body)
+				"Request-Class: clip-summary\r\nRequest-Timeout: 4.000\r\nX-Field: %s\r\nContent-Length: %d\r\n\r\n%s",
+				rand.Uint64(), field, len(body), body)
 			if err != nil {
 				return // The node has closed the connection.
 			}
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -24,7 +24,7 @@
 	Record *Record
 
 	// Check, if set, checks an answer. It is called concurrently.
-	Check func(id string, answer *Answer)
+	Check func(id, route string, answer *Answer)
 }
 
 // Run sends requests and returns how many were served, once all have their answer or ctx is done.
@@ -43,7 +43,7 @@
 				count.Add(1)
 			}
 			if t.Check != nil {
-				t.Check(id, &answer)
+				t.Check(id, route.Name, &answer)
 			}
 		})
 	}
