--- a/review/6/main.go
+++ b/review/6/main.go
@@ -18,12 +18,12 @@
 	burst       = 400                    // connections of bad clients at once
 	burstPeriod = 300 * time.Millisecond // time between two bursts
 	stay        = 120 * time.Millisecond // time from a bad client's request to its close
-	badDeadline = 120                    // Request-Timeout of the bad clients, in seconds
+	badDeadline = 15                     // Request-Timeout of the bad clients, in seconds: the deadline of their class
 
 	fillTime = 9 * time.Second  // time in which only bad clients send
 	goodTime = 40 * time.Second // time in which usual clients send
 	goodRate = 30               // requests of usual clients in a second
-	deadline = 2 * time.Second  // half of the class's deadline, as the tries of some clients have
+	deadline = 3 * time.Second  // half of the class's deadline, as the tries of some clients have
 	// answerSlack is the half second in which an answer past the client's time only earns nothing, and the slack on sockets.
 	answerSlack = 550 * time.Millisecond
 
@@ -46,7 +46,7 @@
 		return parts.Failed, err
 	}
 	defer agent.Stop()
-	node, err := parts.NewNode(agent.Address, agent.List(), parts.SmallDeployment())
+	node, err := parts.NewNode(agent.Address, agent.List(), aprite())
 	if err != nil {
 		return parts.Failed, err
 	}
@@ -72,6 +72,21 @@
 	return parts.Held, nil
 }
 
+// aprite returns the settings of the deployment aprite-chat, where the pages give them.
+func aprite() parts.Settings {
+	settings := parts.SmallDeployment()
+	settings["classes"] = []any{
+		map[string]any{"name": "stock-question", "effect": "retryable", "worth": 1.0, "streamed": true, "objective_us": 1500000,
+			"deadline_us": 6000000, "late_worth": 0.2, "dedup_scope": "all", "memory_span_us": 5000000},
+		map[string]any{"name": "reservation", "effect": "fragile", "worth": 2.0, "streamed": true, "objective_us": 3000000,
+			"deadline_us": 15000000, "late_worth": 0.3, "dedup_scope": "all", "memory_span_us": 5000000},
+	}
+	settings["family_info"] = map[string]any{"aim_us_per_1000_prompt_tokens": []float64{40000, 40000}, "may_reserve": false,
+		"kind_memory_tokens": []float64{200000, 150000}, "local_read": false, "pin_limit_us": 300000, "resume": true,
+		"stage_of_kind": []string{"read", "write"}, "token_aim_us": []float64{60000, 80000}}
+	return settings
+}
+
 // startEngines starts as many readers as writers. A read for a bad client takes longer than the client stays.
 func startEngines(fleet *parts.Fleet) (members []parts.Member, stop func(), err error) {
 	var started []*parts.Engine
@@ -120,7 +135,7 @@
 	}
 	defer conn.Close()
 	const body = `{"model":"chat"}`
-	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: %s\r\nRequest-Class: clip-summary\r\n"+
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\nRequest-Id: %s\r\nRequest-Class: reservation\r\n"+
 		"Affinity-Key: %s\r\nRequest-Timeout: %d\r\nContent-Length: %d\r\n\r\n%s", id, id, badDeadline, len(body), body)
 	time.Sleep(stay)
 }
@@ -129,7 +144,7 @@
 func sendGood(node *parts.Node, record *parts.Record) (late, total int) {
 	var mu sync.Mutex
 	var requests sync.WaitGroup
-	client := parts.NewClient(node, record, "clip-summary")
+	client := parts.NewClient(node, record, "stock-question")
 	for begun := time.Now(); time.Since(begun) < goodTime; total++ {
 		id := fmt.Sprintf("good%d", total)
 		requests.Go(func() {
