--- a/review/parts/engine.go
+++ b/review/parts/engine.go
@@ -25,6 +25,8 @@
 
 	// AfterAnswer is called with the connection after each answer of a reader to a send.
 	AfterAnswer func(conn net.Conn, request string)
+	// AfterStream is called with the connection after the last chunk of each stream.
+	AfterStream func(conn net.Conn, request string)
 	// BeforeEvent is called before event i of a stream. It returns false if the connection is to be reset.
 	BeforeEvent func(request string, i int) bool
 	// TurnAway reports whether a send is turned away with 503 and Not-Started.
@@ -218,5 +220,8 @@
 	_ = chunk(conn, "data: [DONE]\n\n: Server-Load: "+Report+"\n\n") // The next write fails as well.
 	e.fleet.end(s, "stream ended")
 	_, err := fmt.Fprint(conn, "0\r\n\r\n")
+	if e.AfterStream != nil {
+		e.AfterStream(conn, s.Request)
+	}
 	return err == nil
 }
