--- a/review/parts/client.go
+++ b/review/parts/client.go
@@ -28,16 +28,18 @@
 	Record *Record
 	HTTP   *http.Client
 	Class  string
+	// Patience is how long the client waits for the end of an answer after the request's time.
+	Patience time.Duration
 }
 
 // NewClient returns a client of a node.
 func NewClient(n *Node, record *Record, class string) *Client {
-	return &Client{Node: n, Record: record, Class: class, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	return &Client{Node: n, Record: record, Class: class, Patience: 20 * time.Second, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 }
 
-// Send sends a request and reads the answer to its end. It waits for as long as five seconds past the request's time.
+// Send sends a request and reads the answer to its end. It waits for Patience past the request's time.
 func (c *Client) Send(ctx context.Context, id string, limit time.Duration) Answer {
-	ctx, cancel := context.WithTimeout(ctx, limit+20*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, limit+c.Patience)
 	defer cancel()
 	body := fmt.Sprintf(`{"model":"chat","stream":true,"max_tokens":50,"messages":[{"role":"user","content":%q}]}`, id)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Node.Address+"/v1/chat/completions", strings.NewReader(body))
