--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -8,7 +8,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"sandcourse/internal/routing"
 )
@@ -56,6 +55,3 @@
 func NeverRan(v routing.Verdict) bool {
 	return v == routing.Full || v == routing.NotConnected || v == routing.NotSent
 }
-
-// Stalled reports whether an attempt in a state counts as stalled after receiving nothing for the duration idle.
-func Stalled(state State, idle, stall time.Duration) bool { return state == Streaming && idle > stall }
--- a/internal/edge/engine_connection.go
+++ b/internal/edge/engine_connection.go
@@ -65,6 +65,16 @@
 // RequestWritten reports whether the kernel has accepted the whole request.
 func (c *engineConnection) RequestWritten() bool { return c.bytesWritten.Load() >= c.bytesToWrite }
 
+// ConfirmInput returns false: the poller may have input that it has not read. The router is notified once it has none.
+func (c *engineConnection) ConfirmInput() bool {
+	e := c.edge
+	e.goroutines.Go(func() {
+		e.engines.reuse.waitForCompleteBatch(c.conn)
+		e.inbox.put(engineLane, 0, func() { e.router.EngineInputConfirmed(c.state) })
+	})
+	return false
+}
+
 // Close closes the connection at once.
 func (c *engineConnection) Close() { c.conn.Close() }
 
--- a/internal/edge/reuse_guard.go
+++ b/internal/edge/reuse_guard.go
@@ -96,6 +96,14 @@
 	}
 }
 
+// waitForCompleteBatch returns once the poller of a connection has handled all events that were pending at the time of the
+// call, or the edge has stopped. The first wait ends while a batch that includes those events is handled, the second one during
+// a later batch.
+func (g *reuseGuard) waitForCompleteBatch(conn *nbio.Conn) {
+	g.waitForNewBatch(conn)
+	g.waitForNewBatch(conn)
+}
+
 // newBatch returns a channel that is closed once the poller of a new connection has no pending event from before the connection was
 // established.
 func (g *reuseGuard) newBatch(conn *nbio.Conn) <-chan struct{} {
--- a/internal/edge/scripted_engine_test.go
+++ b/internal/edge/scripted_engine_test.go
@@ -101,6 +101,15 @@
 	e.closeOnRequestID = requestID
 }
 
+// writeAll writes to all connections.
+func (e *scriptedEngine) writeAll(wire string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.connections {
+		io.WriteString(c, wire)
+	}
+}
+
 // closeAll closes all connections.
 func (e *scriptedEngine) closeAll() {
 	e.mu.Lock()
--- a/internal/emulator/connection.go
+++ b/internal/emulator/connection.go
@@ -142,6 +142,9 @@
 // RequestWritten returns true: requests are always written completely.
 func (c *connection) RequestWritten() bool { return true }
 
+// ConfirmInput returns true: responses are passed to the router at once.
+func (c *connection) ConfirmInput() bool { return true }
+
 // Close closes the connection and aborts its request.
 func (c *connection) Close() {
 	c.closed = true
--- a/internal/modelcheck/connection.go
+++ b/internal/modelcheck/connection.go
@@ -113,6 +113,9 @@
 // RequestWritten reports whether the kernel has accepted the last request completely.
 func (c *simulatedConnection) RequestWritten() bool { return !c.partlyWritten }
 
+// ConfirmInput returns true: responses are passed to the router at once.
+func (c *simulatedConnection) ConfirmInput() bool { return true }
+
 // Close closes the connection from the router's side.
 func (c *simulatedConnection) Close() {
 	if c.closed {
--- a/internal/modelcheck/mutations_test.go
+++ b/internal/modelcheck/mutations_test.go
@@ -35,7 +35,7 @@
 		"verdict: routing.Canceled, connection: MustClose}", "one", "P5 P9 P10"},
 	{"the drain check never blocks", "internal/invariant/gates.go", "spare >= 0 && time.Duration(now-notifiedAt) <= spare/2", "spare < 1<<62", "one", "P7"},
 	{"the drain check blocks late", "internal/invariant/gates.go", "spare >= 0 && time.Duration(now-notifiedAt) <= spare/2", "time.Duration(now-notifiedAt) <= 3*grace+0*spare", "one", "P7"},
-	{"a stalled stream never times out", "internal/attempt/attempt.go", "return state == Streaming && idle > stall", "return false", "single", "P9 P10"},
+	{"a stalled stream never times out", "internal/router/stalled_streams.go", "return last + int64(r.config.StallTimeout) + 1", "return math.MaxInt64 + 0*last", "single", "P9 P10"},
 	{"the end of a response is sent twice", "internal/router/request_outcomes.go", "\t\tr.write(client, last)",
 		"\t\tr.write(client, append(last[:len(last)-5:len(last)-5], last...))", "one", "P1"},
 	{"the connection of a canceled attempt stays open", "internal/router/attempts.go", "case result.Connection == attempt.MustClose:", "case result.Connection == attempt.MustClose && event != attempt.Canceled:",
--- a/internal/protocol/platform/deployment.go
+++ b/internal/protocol/platform/deployment.go
@@ -19,8 +19,12 @@
 	reuseDelay = 20 * time.Millisecond
 	// firstRequestTimeout is 0.5 s less than the 3 s that the platform waits for a response to an incomplete request.
 	firstRequestTimeout = 2500 * time.Millisecond
-	// stallTimeout is 1 s less than the 5 s after which a client that receives nothing gives up on its stream.
-	stallTimeout = 4 * time.Second
+	// resumableStallTimeout is how long a stream may be silent if its client asks another node for the rest.
+	resumableStallTimeout = 4 * time.Second
+	// clientEventTimeout is how long a client may be left waiting after an event of its stream.
+	clientEventTimeout = 5 * time.Second
+	// limitExtension is the time by which the platform extends each time limit.
+	limitExtension = 50 * time.Millisecond
 	// acceptAfterSignal covers the 0.4 s during which connections still arrive after the signal to stop.
 	acceptAfterSignal = 600 * time.Millisecond
 	// maxRetryAfter bounds the Retry-After of shed requests.
@@ -126,7 +130,7 @@
 	d.Limits.FirstRequestTimeout = firstRequestTimeout
 	d.Limits.HeaderTimeout, d.Limits.BodyTimeout = d.Limits.FirstRequestTimeout, d.Limits.FirstRequestTimeout
 	d.Limits.IdleTimeout, d.Limits.DrainTimeout = time.Minute, time.Second
-	d.StallTimeout = stallTimeout
+	d.StallTimeout = stallTimeout(s.Flag("engine_facts.resume"))
 	d.MaxRetryAfter = 0
 	if s.Flag("limits.retry_after") {
 		d.MaxRetryAfter = min(maxRetryAfter, s.Duration("limits.max_retry_after", 0))
@@ -135,6 +139,16 @@
 	d.ReleaseRepeatTime = 3 * d.Rules.ReservationLimit
 }
 
+// stallTimeout returns how long a stream may be silent before it ends. A client that cannot ask for the rest loses the request
+// both if its stream ends while the engine still sends events, and if it waits for too long. The node may be held up when it
+// reads the last event, and again when it ends the stream.
+func stallTimeout(clientsResume bool) time.Duration {
+	if clientsResume {
+		return resumableStallTimeout
+	}
+	return clientEventTimeout + limitExtension/2 - 2*invariant.MaxDelay
+}
+
 // applyShutdownTimes sets the times of a graceful shutdown. A truncated stream can continue at another node only if clients
 // request the rest of it.
 func applyShutdownTimes(d *config.Deployment, s params.Settings) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -5,6 +5,7 @@
 
 	"sandcourse/internal/attempt"
 	"sandcourse/internal/connpool"
+	"sandcourse/internal/indexheap"
 	"sandcourse/internal/invariant"
 	"sandcourse/internal/protocol"
 	"sandcourse/internal/reservation"
@@ -27,9 +28,11 @@
 	machine           attempt.Attempt
 	connection        *EngineConnection
 	responseHeads     int
-	token             []byte // the stream event that is being handled
-	lastTokenAt       int64
-	relay             Relay // relay of the attempt's stream; nil without a stream
+	token             []byte             // the stream event that is being handled
+	lastTokenAt       int64              // time at which the last token that the router forwarded was read
+	stallCheckAt      int64              // time at which the stream is checked for a stall
+	streamPosition    indexheap.Position // position among the watched streams
+	relay             Relay              // relay of the attempt's stream; nil without a stream
 	cachedTokens      float64
 	reservationHandle protocol.ReservationHandle
 	loadReport        *routing.LoadReport
@@ -155,6 +158,7 @@
 func (r *Router) endAttempt(att *engineAttempt, event attempt.Event, result attempt.Result, reason AttemptReason) {
 	req := att.request
 	att.ended, att.verdict, att.reason = true, result.Verdict, reason
+	r.streams.Remove(att)
 	r.releaseConnection(att, event, result)
 	r.reportAttempt(att)
 	if result.Verdict == routing.PrefillDone {
@@ -218,6 +222,7 @@
 func (r *Router) forwardToken(att *engineAttempt, first bool) {
 	req := att.request
 	if first {
+		r.watchStream(att)
 		r.handleFirstToken(att)
 	}
 	req.tokens++
@@ -245,22 +250,3 @@
 func (r *Router) attemptLatency(att *engineAttempt) time.Duration {
 	return time.Duration(max(0, r.eventTime()-att.startedAt))
 }
-
-// reapStalledStreams ends the attempts whose streams have had no token for longer than the stall timeout.
-func (r *Router) reapStalledStreams() {
-	observed := r.enginesObserved()
-	for _, id := range r.requests.ids() {
-		for _, att := range r.requests.byID[id].attempts {
-			if att.ended {
-				continue
-			}
-			idle := time.Duration(observed - max(att.startedAt, att.lastTokenAt))
-			if att.relay != nil {
-				idle = min(idle, time.Duration(observed-att.relay.LastTokenAt()))
-			}
-			if attempt.Stalled(att.machine.State, idle, r.config.StallTimeout) {
-				r.handleAttemptEvent(att, attempt.StreamStalled, reasonStalled+AttemptReason(idle.String()))
-			}
-		}
-	}
-}
--- a/internal/router/client_connections.go
+++ b/internal/router/client_connections.go
@@ -157,23 +157,27 @@
 	r.flush(client)
 }
 
-// closeFlushed closes, in the order of their IDs, the closing connections that are due. If all output is written, the client
-// has clientCloseTimeout to close the connection itself, unless an answer was cut off; if not, it has DrainTimeout to read.
+// closeFlushed closes, in the order of their IDs, the closing connections that are due.
 func (r *Router) closeFlushed() {
 	for _, id := range slices.Sorted(maps.Keys(r.clients.closingSince)) {
-		client, since := r.clients.byID[id], r.clients.closingSince[id]
-		if client == nil {
+		if client := r.clients.byID[id]; client != nil {
+			r.closeIfFlushed(client)
+		} else {
 			delete(r.clients.closingSince, id)
-			continue
-		}
-		flushed := client.Socket.Flushed()
-		if flushed && (client.aborted || r.now-since > clientCloseTimeout) || r.now-since > int64(r.config.Limits.DrainTimeout) {
-			delete(r.clients.closingSince, id)
-			r.closeClient(client, client.closeReason(flushed))
 		}
 	}
 }
 
+// closeIfFlushed closes a closing connection if it is due. If all output is written, the client has clientCloseTimeout to close
+// the connection itself, unless an answer was cut off; if not, it has DrainTimeout to read.
+func (r *Router) closeIfFlushed(client *ClientConnection) {
+	flushed, since := client.Socket.Flushed(), r.clients.closingSince[client.ID]
+	if flushed && (client.aborted || r.now-since > clientCloseTimeout) || r.now-since > int64(r.config.Limits.DrainTimeout) {
+		delete(r.clients.closingSince, client.ID)
+		r.closeClient(client, client.closeReason(flushed))
+	}
+}
+
 // expireClient ends a connection that has exceeded the timeout of its state.
 func (r *Router) expireClient(client *ClientConnection, state admission.State) {
 	switch state {
--- a/internal/router/client_requests.go
+++ b/internal/router/client_requests.go
@@ -199,6 +199,7 @@
 	client.serving, client.current = false, nil
 	client.aborted = true
 	r.closeAfterFlush(client)
+	r.closeIfFlushed(client)
 }
 
 // shedResponse returns the answer to a request or connection that is shed for lack of capacity.
--- a/internal/router/engine_responses.go
+++ b/internal/router/engine_responses.go
@@ -45,7 +45,7 @@
 			return
 		}
 	}
-	att.lastTokenAt = r.now
+	att.lastTokenAt = r.eventTime()
 	att.token = event
 	r.handleAttemptEvent(att, attempt.TokenReceived, "")
 	if att.relay != nil && req.forwardsTokens() && att.machine.State == attempt.Streaming {
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -16,3 +16,6 @@
 func (r *Router) KnownEngines() int {
 	return max(len(r.endpoints.lastListedIn), len(r.endpoints.drains))
 }
+
+// WatchedStreams returns how many streams are watched for stalls.
+func (r *Router) WatchedStreams() int { return r.streams.Len() }
--- a/internal/router/golden_recorder_test.go
+++ b/internal/router/golden_recorder_test.go
@@ -173,6 +173,7 @@
 }
 
 func (e *goldenEngine) RequestWritten() bool { return true }
+func (e *goldenEngine) ConfirmInput() bool   { return true }
 
 func (e *goldenEngine) Close() {
 	e.closed = true
--- a/internal/router/interfaces.go
+++ b/internal/router/interfaces.go
@@ -36,6 +36,9 @@
 	Write(request []byte) error
 	// RequestWritten reports whether the kernel has accepted the last byte of the last request.
 	RequestWritten() bool
+	// ConfirmInput reports whether all input that has arrived on the connection was passed to the router. If some may be
+	// unread, Router.EngineInputConfirmed is called in a later event, once what has arrived by now was passed on.
+	ConfirmInput() bool
 	// Close closes the connection immediately.
 	Close()
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -102,6 +102,7 @@
 // dropAttempt ends an attempt that is unknown to the new policy.
 func (r *Router) dropAttempt(att *engineAttempt) {
 	att.ended = true
+	r.streams.Remove(att)
 	r.recordReservation(att, attempt.Canceled, attempt.Result{Verdict: routing.Canceled, MayLeaveReservation: true})
 	if conn := att.connection; conn != nil && conn.attempt == att {
 		conn.attempt = nil
--- a/internal/router/random_world_test.go
+++ b/internal/router/random_world_test.go
@@ -130,6 +130,7 @@
 }
 
 func (e *simulatedConnection) RequestWritten() bool { return true }
+func (e *simulatedConnection) ConfirmInput() bool   { return true }
 
 // Close closes the connection. The engine notices the close later: requests that the router writes on other connections may
 // arrive before.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,7 @@
 	clients         clientConnections
 	connections     engineConnections
 	requests        requestTable
+	streams         streamIndex
 	reservations    *reservation.Table
 	controlRequests controlRequests
 	shutdown        shutdownState
@@ -76,6 +77,7 @@
 		r.advanceReservation(reserved)
 	}
 	r.fireTimers()
+	r.endStalledStreams()
 	if r.startReapIfDue() {
 		r.reap()
 	}
@@ -85,11 +87,11 @@
 
 // NextDue returns when RunDue must be called next if no other event occurs before.
 func (r *Router) NextDue() int64 {
-	return min(r.nextReapAt(), r.reservations.NextDue(), r.policy.timers.next())
+	return min(r.nextReapAt(), r.reservations.NextDue(), r.policy.timers.next(), r.streams.nextDue())
 }
 
-// reap enforces the time limits that have no timer of their own: those of stalled streams, slow clients, idle connections,
-// shutdowns and drains.
+// reap enforces the time limits that have no timer of their own: those of slow clients, idle connections, shutdowns and
+// drains.
 func (r *Router) reap() {
 	r.drainClients()
 	r.abandonLateRequests()
@@ -99,7 +101,6 @@
 	for _, expired := range r.admission.Expired(r.clientsObserved()) {
 		r.expireClient(r.clients.byID[expired.ID], expired.State)
 	}
-	r.reapStalledStreams()
 }
 
 // AbandonAll answers every open request with an error and cancels its attempts.
--- a/internal/router/testbed_test.go
+++ b/internal/router/testbed_test.go
@@ -86,11 +86,18 @@
 	conn    *router.EngineConnection
 	written bytes.Buffer
 	closed  bool
+
+	hasUnreadInput bool // input may have arrived that was not passed to the router
+	confirming     bool // the router waits for EngineInputConfirmed
 }
 
 func (s *fakeEngineSocket) Write(request []byte) error { s.written.Write(request); return nil }
 func (s *fakeEngineSocket) RequestWritten() bool       { return true }
-func (s *fakeEngineSocket) Close()                     { s.closed = true }
+func (s *fakeEngineSocket) ConfirmInput() bool {
+	s.confirming = s.hasUnreadInput
+	return !s.hasUnreadInput
+}
+func (s *fakeEngineSocket) Close() { s.closed = true }
 
 // fakeClientSocket is a connection of a client.
 type fakeClientSocket struct {
