A turn of the owner costs what is due, not what is held, and releases leave room for input

The table of reservations was sorted for every due one and every eviction; each dial at the total limit scanned all connections; the choice of a release's target scanned all engines, twice; every 25 ms all connections were sorted. And all that was due was done before the next look at the input.

Change: heaps for due, oldest and evictable reservations and for the timeouts of connections; lists of idle connections and of engines by their last response; idle client connections in a heap for evictions. At most eight due releases a turn. Choices that change: a full table evicts the acknowledged reservation whose releases end first, not the first by name; a first release goes to the engine whose connection became idle last, where it was the one whose last response began last (golden files: other engines for some releases, one dial less).

Tests: each index has the plain scan as its reference; TestDueReleasesAreSpreadOverTurns fails with the bound lifted (40 releases in one turn).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -6,8 +6,9 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
+
+	"sandcourse/internal/indexheap"
 )
 
 // Limits bounds what one router accepts from its clients.
@@ -31,12 +32,22 @@
 	unfinishedBytes   int // bytes of the incomplete request
 	openRequests      int
 	firstRequestSince int64 // time at which the connection was opened; 0 after its first complete request
+	idlePosition      indexheap.Position
+}
+
+// Before orders idle connections by the time at which they became idle.
+func (c *connection) Before(other *connection) bool {
+	return cmp.Or(cmp.Compare(c.stateSince, other.stateSince), cmp.Compare(c.id, other.id)) < 0
 }
 
+// Position returns where the index of idle connections stores the connection's position.
+func (c *connection) Position() *indexheap.Position { return &c.idlePosition }
+
 // Controller tracks the connections of one router's clients and the open requests of its tenants.
 type Controller struct {
 	limits        Limits
 	connections   map[int64]*connection
+	idle          indexheap.Heap[*connection]
 	openByTenant  map[string]int // number of open requests, by tenant
 	openRequests  int
 	bufferedBytes int
@@ -54,27 +65,40 @@
 	if len(ct.connections) >= ct.limits.Connections && !ct.evictIdle(now, tryClose) {
 		return false
 	}
-	ct.connections[id] = &connection{id: id, stateSince: now, firstRequestSince: now}
+	c := &connection{id: id, stateSince: now, firstRequestSince: now}
+	ct.connections[id] = c
+	ct.indexIdle(c)
 	return true
 }
 
 func (ct *Controller) evictIdle(now int64, tryClose func(id int64) bool) bool {
-	var idle []*connection
-	for _, c := range ct.connections {
-		if c.state == Idle {
-			idle = append(idle, c)
+	var busy []*connection // idle connections on which a request is about to arrive
+	defer func() {
+		for _, c := range busy {
+			ct.indexIdle(c)
+		}
+	}()
+	for {
+		c, ok := ct.idle.First()
+		if !ok {
+			return false
 		}
-	}
-	slices.SortFunc(idle, func(a, b *connection) int {
-		return cmp.Or(cmp.Compare(a.stateSince, b.stateSince), cmp.Compare(a.id, b.id))
-	})
-	for _, c := range idle {
 		if tryClose(c.id) {
 			ct.Handle(c.id, ConnectionClosed, now)
 			return true
 		}
+		ct.idle.Remove(c)
+		busy = append(busy, c)
+	}
+}
+
+// indexIdle adds a connection to the index of idle connections, or removes it if it is not idle.
+func (ct *Controller) indexIdle(c *connection) {
+	if c.state == Idle && ct.connections[c.id] == c {
+		ct.idle.Set(c)
+	} else {
+		ct.idle.Remove(c)
 	}
-	return false
 }
 
 // Handle applies an event to one connection. An event without a transition from the current state has no effect.
@@ -91,12 +115,14 @@
 	if c.state != fired.next {
 		c.state, c.stateSince = fired.next, now
 	}
+	ct.indexIdle(c)
 	if event == RequestComplete {
 		c.firstRequestSince = 0
 	}
 	if c.state == Terminated {
 		ct.AddBytes(id, -c.bufferedBytes)
 		delete(ct.connections, id)
+		ct.idle.Remove(c)
 	}
 }
 
--- a/internal/connpool/acquire.go
+++ b/internal/connpool/acquire.go
@@ -1,7 +1,6 @@
 package connpool
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -24,21 +23,16 @@
 // The parameter spare is the number of connections by which the limits may be exceeded, for requests that must not wait
 // behind attempts, such as releases of reservations.
 func (p *Pool) Acquire(engine string, now int64, maxIdle time.Duration, spare int) Lease {
-	usage := p.usage(engine, now)
-	if c := usage.shortestIdle; c != nil && p.withinIdleLimit(c, now, maxIdle) {
+	to := p.connectionsTo(engine)
+	if c := to.shortestIdle(now); c != nil && p.withinIdleLimit(c, now, maxIdle) {
 		p.Handle(c.id, Acquired, now)
 		return Lease{ID: c.id, Reused: true, OK: true}
 	}
-	if usage.dialing >= p.limits.ConcurrentDials+spare {
+	if to.dialing >= p.limits.ConcurrentDials+spare {
 		return Lease{}
 	}
-	evict := usage.longestIdle
-	totalReached := p.limits.Total > 0 && len(p.connections) >= p.limits.Total+spare
-	if totalReached {
-		evict = p.longestIdle()
-	}
 	var lease Lease
-	if totalReached || len(p.byEngine[engine]) >= p.limits.PerEngine+spare {
+	if full, evict := p.limitReached(to, spare); full {
 		if evict == nil {
 			return Lease{}
 		}
@@ -49,66 +43,77 @@
 	return lease
 }
 
-// engineUsage summarizes the connections to one engine.
-type engineUsage struct {
-	dialing                   int
-	shortestIdle, longestIdle *connection // idle connections, nil if no connection is idle; shortestIdle counts settled ones only
+// limitReached reports whether a limit forbids a further connection to an engine, and returns the connection to close for it: of
+// those that count against the limit, the one that has been idle longest; nil if none is idle.
+func (p *Pool) limitReached(to *engineConnections, spare int) (full bool, evict *connection) {
+	switch {
+	case p.limits.Total > 0 && len(p.connections) >= p.limits.Total+spare:
+		return true, p.idle.oldest
+	case to.count >= p.limits.PerEngine+spare:
+		return true, to.longestIdle()
+	}
+	return false, nil
 }
 
-func (p *Pool) usage(engine string, now int64) (usage engineUsage) {
-	for _, c := range p.byEngine[engine] {
-		switch {
-		case c.state == Dialing:
-			usage.dialing++
-		case c.state != Idle:
-		default:
-			if now >= c.reusableAt && (usage.shortestIdle == nil || c.stateSince > usage.shortestIdle.stateSince) {
-				usage.shortestIdle = c
-			}
-			if usage.longestIdle == nil || c.stateSince < usage.longestIdle.stateSince {
-				usage.longestIdle = c
-			}
-		}
+// noConnections is the value of an engine without connections.
+var noConnections = &engineConnections{}
+
+// connectionsTo returns the connections to an engine, which must not be changed.
+func (p *Pool) connectionsTo(engine string) *engineConnections {
+	if e := p.byEngine[engine]; e != nil {
+		return e
 	}
-	return usage
+	return noConnections
 }
 
-// longestIdle returns the connection to any engine that has been idle longest; nil if no connection is idle.
-func (p *Pool) longestIdle() (oldest *connection) {
-	for _, c := range p.connections {
-		older := oldest == nil || cmp.Or(cmp.Compare(c.stateSince, oldest.stateSince), cmp.Compare(c.id, oldest.id)) < 0
-		if c.state == Idle && older {
-			oldest = c
+// shortestIdle returns the connection that has been idle for the shortest time, of those that have settled; nil without one.
+func (e *engineConnections) shortestIdle(now int64) *connection {
+	for _, c := range slices.Backward(e.idle) {
+		if now >= c.reusableAt {
+			return c
 		}
 	}
-	return oldest
+	return nil
+}
+
+// longestIdle returns the connection that has been idle longest; nil if none is idle.
+func (e *engineConnections) longestIdle() *connection {
+	if len(e.idle) == 0 {
+		return nil
+	}
+	return e.idle[0]
 }
 
 // open adds a connection that is to be dialed.
 func (p *Pool) open(engine string, now int64) (id int64) {
+	to := p.byEngine[engine]
+	if to == nil {
+		to = &engineConnections{engine: engine}
+		p.byEngine[engine] = to
+	}
 	p.nextID++
-	c := &connection{id: p.nextID, engine: engine, stateSince: now}
+	c := &connection{id: p.nextID, engine: to, stateSince: now}
 	p.connections[c.id] = c
-	p.byEngine[engine] = append(p.byEngine[engine], c)
+	to.count++
 	p.Handle(c.id, Requested, now)
 	return c.id
 }
 
-// ReusableEngines returns, in no particular order, the engines to which Acquire would reuse a connection.
-func (p *Pool) ReusableEngines(now int64, maxIdle time.Duration) (engines []string) {
-	for engine := range p.byEngine {
-		if p.HasReusable(engine, now, maxIdle) {
-			engines = append(engines, engine)
+// LatestIdleEngine returns, of the accepted engines to which Acquire would reuse a connection, the one whose connection became idle
+// last; empty if there is none. An engine that has just answered is likely to answer again.
+func (p *Pool) LatestIdleEngine(now int64, maxIdle time.Duration, accept func(engine string) bool) string {
+	for c := p.idle.newest; c != nil && p.withinIdleLimit(c, now, maxIdle); c = c.earlierIdle {
+		if now >= c.reusableAt && accept(c.engine.engine) {
+			return c.engine.engine
 		}
 	}
-	return engines
+	return ""
 }
 
 // HasReusable reports whether Acquire would reuse a connection to an engine.
 func (p *Pool) HasReusable(engine string, now int64, maxIdle time.Duration) bool {
-	return slices.ContainsFunc(p.byEngine[engine], func(c *connection) bool {
-		return c.state == Idle && now >= c.reusableAt && p.withinIdleLimit(c, now, maxIdle)
-	})
+	c := p.connectionsTo(engine).shortestIdle(now)
+	return c != nil && p.withinIdleLimit(c, now, maxIdle)
 }
 
 // withinIdleLimit reports whether the idle time of an idle connection is short enough for reuse.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -18,10 +18,19 @@
 
 type connection struct {
 	id         int64
-	engine     string
+	engine     *engineConnections
 	state      State
 	stateSince int64
 	reusableAt int64 // earliest time of the next reuse
+
+	earlierIdle, laterIdle *connection // neighbors among all idle connections
+}
+
+// engineConnections are the connections to one engine.
+type engineConnections struct {
+	engine         string
+	count, dialing int
+	idle           []*connection // in the order in which they became idle
 }
 
 // Pool holds the state of all connections of one router to engines. Times are in nanoseconds since the start of the
@@ -29,7 +38,8 @@
 type Pool struct {
 	limits           Limits
 	connections      map[int64]*connection
-	byEngine         map[string][]*connection
+	byEngine         map[string]*engineConnections
+	idle             idleList
 	earlyCloses      earlyCloses
 	nextID           int64
 	firedTransitions uint64
@@ -37,7 +47,7 @@
 
 // New returns an empty pool.
 func New(limits Limits) *Pool {
-	return &Pool{limits: limits, connections: map[int64]*connection{}, byEngine: map[string][]*connection{},
+	return &Pool{limits: limits, connections: map[int64]*connection{}, byEngine: map[string]*engineConnections{},
 		earlyCloses: earlyCloses{byEngine: map[string]int64{}}}
 }
 
@@ -53,9 +63,9 @@
 		return NoAction
 	}
 	if event == Broken && c.state == Idle && time.Duration(now-c.stateSince) < earlyCloseMaxIdle {
-		p.RecordEarlyClose(c.engine, now)
+		p.RecordEarlyClose(c.engine.engine, now)
 	}
-	c.state, c.stateSince = transitions[i].next, now
+	p.setState(c, transitions[i].next, now)
 	if event == ReleasedAfterStream {
 		c.reusableAt = now + int64(p.limits.SettleTime)
 	}
@@ -66,11 +76,41 @@
 	return transitions[i].action
 }
 
+// setState changes the state of a connection, and keeps the counts and lists of connections by state.
+func (p *Pool) setState(c *connection, next State, now int64) {
+	if c.state == Idle {
+		p.idle.remove(c)
+		c.engine.removeIdle(c)
+	}
+	if c.state == Dialing {
+		c.engine.dialing--
+	}
+	c.state, c.stateSince = next, now
+	switch next {
+	case Idle:
+		p.idle.add(c)
+		c.engine.idle = append(c.engine.idle, c)
+	case Dialing:
+		c.engine.dialing++
+	}
+}
+
+// removeIdle removes a connection from the idle ones. The connection that became idle last is reused first, so the search begins at
+// the end.
+func (e *engineConnections) removeIdle(c *connection) {
+	for i := len(e.idle) - 1; i >= 0; i-- {
+		if e.idle[i] == c {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return
+		}
+	}
+}
+
 func (p *Pool) remove(c *connection, now int64) {
 	delete(p.connections, c.id)
-	p.byEngine[c.engine] = slices.DeleteFunc(p.byEngine[c.engine], func(other *connection) bool { return other == c })
-	if len(p.byEngine[c.engine]) == 0 {
-		delete(p.byEngine, c.engine)
+	c.engine.count--
+	if c.engine.count == 0 {
+		delete(p.byEngine, c.engine.engine)
 		p.earlyCloses.expire(now)
 	}
 }
@@ -79,10 +119,8 @@
 // the event IdleExpired to Handle.
 func (p *Pool) ExpiredConnections(now int64) []int64 {
 	var ids []int64
-	for id, c := range p.connections {
-		if c.state == Idle && time.Duration(now-c.stateSince) >= p.limits.IdleTimeout {
-			ids = append(ids, id)
-		}
+	for c := p.idle.oldest; c != nil && time.Duration(now-c.stateSince) >= p.limits.IdleTimeout; c = c.laterIdle {
+		ids = append(ids, c.id)
 	}
 	slices.Sort(ids)
 	return ids
@@ -106,7 +144,12 @@
 func (p *Pool) FiredTransitions() uint64 { return p.firedTransitions }
 
 // Count returns the number of connections to one engine, in any state.
-func (p *Pool) Count(engine string) int { return len(p.byEngine[engine]) }
+func (p *Pool) Count(engine string) int {
+	if e := p.byEngine[engine]; e != nil {
+		return e.count
+	}
+	return 0
+}
 
 // IDs returns the IDs of all connections in ascending order.
 func (p *Pool) IDs() []int64 {
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -35,6 +35,7 @@
 	unacknowledgedSince int64 // start of the time in which releases were not acknowledged; 0 without an open release
 	unacknowledgedCount int   // number of releases since the last acknowledgement
 	acknowledgements    int
+	positions           positions
 }
 
 // Acknowledged reports whether an engine has acknowledged a release.
--- a/internal/reservation/table.go
+++ b/internal/reservation/table.go
@@ -1,7 +1,6 @@
 package reservation
 
 import (
-	"cmp"
 	"math"
 	"slices"
 )
@@ -13,16 +12,12 @@
 type Table struct {
 	limits    Limits
 	byRequest map[string][]*Reservation // reservations of each request, in the order of their prefills
-	count     int
-	// nextDue is the earliest due time, unless nextDueStale is set: then the reservation that was due first may be due at another
-	// time or removed.
-	nextDue      int64
-	nextDueStale bool
+	indexes   indexes
 }
 
 // New returns an empty table.
 func New(limits Limits) *Table {
-	return &Table{limits: limits, byRequest: map[string][]*Reservation{}, nextDue: Never}
+	return &Table{limits: limits, byRequest: map[string][]*Reservation{}}
 }
 
 // Find returns the reservation with an ID; nil if none is known.
@@ -37,71 +32,44 @@
 
 // All lists all reservations, in the order of requests and attempts.
 func (t *Table) All() []*Reservation {
-	all := make([]*Reservation, 0, t.count)
+	all := make([]*Reservation, 0, t.Count())
 	for _, reservations := range t.byRequest {
 		all = append(all, reservations...)
 	}
-	slices.SortFunc(all, func(a, b *Reservation) int {
-		return cmp.Or(cmp.Compare(a.ID.Request, b.ID.Request), cmp.Compare(a.ID.Attempt, b.ID.Attempt))
-	})
+	slices.SortFunc(all, func(a, b *Reservation) int { return a.ID.compare(b.ID) })
 	return all
 }
 
 // NextDue returns when the next reservation is due.
 func (t *Table) NextDue() int64 {
-	if !t.nextDueStale {
-		return t.nextDue
+	if first, ok := t.indexes.byDue.First(); ok {
+		return first.DueAt
 	}
-	t.nextDue, t.nextDueStale = Never, false
-	for _, reservations := range t.byRequest {
-		for _, r := range reservations {
-			t.nextDue = min(t.nextDue, r.DueAt)
-		}
-	}
-	return t.nextDue
+	return Never
 }
 
-// DueBy lists the reservations that are due, in the order of requests and attempts.
-func (t *Table) DueBy(now int64) (due []*Reservation) {
-	if now < t.NextDue() {
-		return nil
+// FirstDue returns the reservation that has been due for longest; nil if none is due. HandleDue makes it due later or removes it.
+func (t *Table) FirstDue(now int64) *Reservation {
+	if first, ok := t.indexes.byDue.First(); ok && first.DueAt <= now {
+		return first.Reservation
 	}
-	for _, r := range t.All() {
-		if r.DueAt <= now {
-			due = append(due, r)
-		}
-	}
-	return due
+	return nil
 }
 
 // Count returns the number of reservations.
-func (t *Table) Count() int { return t.count }
+func (t *Table) Count() int { return t.indexes.byAge.Len() }
 
 // OldestSince returns the time at which the oldest reservation became known; 0 for an empty table.
 func (t *Table) OldestSince() (since int64) {
-	for _, reservations := range t.byRequest {
-		for _, r := range reservations {
-			if since == 0 || r.KnownSince < since {
-				since = r.KnownSince
-			}
-		}
+	if oldest, ok := t.indexes.byAge.First(); ok {
+		return oldest.KnownSince
 	}
-	return since
+	return 0
 }
 
 // Unreleased counts the reservations that a router must not leave behind when it exits. Where releases are repeated, two
 // acknowledgements are enough: by then the earlier attempts have ended, unless their engines hang.
-func (t *Table) Unreleased() (count int) {
-	const enoughAcknowledgements = 2
-	for _, reservations := range t.byRequest {
-		for _, r := range reservations {
-			if r.State != Releasing || r.acknowledgements < enoughAcknowledgements {
-				count++
-			}
-		}
-	}
-	return count
-}
+func (t *Table) Unreleased() int { return t.indexes.unreleased }
 
 // EventTimes are the times of an event, in nanoseconds.
 type EventTimes struct {
@@ -116,26 +84,24 @@
 	if r := t.Find(id); r != nil {
 		return r
 	}
-	if t.count >= t.limits.MaxReservations && !t.evictAcknowledged() {
+	if t.Count() >= t.limits.MaxReservations && !t.evictAcknowledged() {
 		return nil
 	}
 	r := &Reservation{ID: id, Engine: engine, KnownSince: times.Now, unclaimedSince: times.Now}
 	t.byRequest[id.Request] = append(t.byRequest[id.Request], r)
-	t.count++
 	t.handle(r, event, times)
 	return r
 }
 
-// evictAcknowledged removes a reservation with an acknowledged release, if there is one.
+// evictAcknowledged removes the reservation with an acknowledged release that needs further releases for the shortest time, if
+// there is one.
 func (t *Table) evictAcknowledged() bool {
-	for _, r := range t.All() {
-		if r.State == Releasing && r.Acknowledged() {
-			r.State = None
-			t.remove(r)
-			return true
-		}
+	first, ok := t.indexes.acknowledged.First()
+	if ok {
+		first.State = None
+		t.remove(first.Reservation)
 	}
-	return false
+	return ok
 }
 
 // HandleAttempt applies Unneeded or the event of an attempt to all reservations of a request, as an attempt may consume any
@@ -162,6 +128,7 @@
 	}
 	fired := findTransition(r.State, event)
 	if fired == nil {
+		t.indexes.update(r)
 		return
 	}
 	r.State = fired.next
@@ -179,20 +146,20 @@
 	}
 	if r.State == None {
 		t.remove(r)
+		return
 	}
+	t.indexes.update(r)
 }
 
 func (t *Table) setDue(r *Reservation, at int64) {
-	t.nextDueStale = t.nextDueStale || r.DueAt == t.nextDue
 	r.DueAt = at
-	t.nextDue = min(t.nextDue, at)
+	t.indexes.update(r)
 }
 
 func (t *Table) remove(r *Reservation) {
 	request := r.ID.Request
-	t.nextDueStale = t.nextDueStale || r.DueAt == t.nextDue
+	t.indexes.remove(r)
 	t.byRequest[request] = slices.DeleteFunc(t.byRequest[request], func(other *Reservation) bool { return other == r })
-	t.count--
 	if len(t.byRequest[request]) == 0 {
 		delete(t.byRequest, request)
 	}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -193,7 +193,7 @@
 	case event == attempt.EngineUnavailable:
 		r.connections.Handle(conn.ID, connpool.Released, r.now)
 	default:
-		conn.drainingResponseSince = r.now
+		r.startResponseDrain(conn)
 	}
 }
 
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -24,14 +23,14 @@
 
 // endpointState holds the endpoint list, and the state of the engines that are or were in it.
 type endpointState struct {
-	current        *endpoint.List // the list in use; nil until the first list is received
-	positions      map[string]int // index into the entries of current, by engine
-	history        listHistory
-	starts         engineStarts
-	drains         attempt.UnavailableSince // times since which engines have been draining or not listed
-	listCount      uint64                   // number of lists received
-	lastListedIn   map[string]uint64        // number of the last list that had an engine; kept for departedRetention
-	lastResponseAt map[string]int64         // time at which an engine's last response began
+	current      *endpoint.List // the list in use; nil until the first list is received
+	positions    map[string]int // index into the entries of current, by engine
+	history      listHistory
+	starts       engineStarts
+	drains       attempt.UnavailableSince // times since which engines have been draining or not listed
+	listCount    uint64                   // number of lists received
+	lastListedIn map[string]uint64        // number of the last list that had an engine; kept for departedRetention
+	responders   responders               // listed engines in the order of their last responses
 }
 
 // listHistory detects lists that are older than one received before.
@@ -43,7 +42,7 @@
 
 func newEndpointState() endpointState {
 	return endpointState{positions: map[string]int{}, drains: attempt.UnavailableSince{}, lastListedIn: map[string]uint64{},
-		lastResponseAt: map[string]int64{}}
+		responders: newResponders()}
 }
 
 // setCurrent makes a list the current one.
@@ -125,9 +124,7 @@
 			delete(e.drains, engine)
 		}
 	}
-	maps.DeleteFunc(e.lastResponseAt, func(engine string, at int64) bool {
-		return e.lastListedIn[engine] != e.listCount && now-at > departedRetention
-	})
+	e.responders.forget(func(engine string) bool { return e.lastListedIn[engine] == e.listCount })
 }
 
 // UpdateEndpoints handles a new endpoint list.
--- a/internal/router/engine_connections.go
+++ b/internal/router/engine_connections.go
@@ -7,6 +7,7 @@
 	"sandcourse/internal/attempt"
 	"sandcourse/internal/config"
 	"sandcourse/internal/connpool"
+	"sandcourse/internal/indexheap"
 	"sandcourse/internal/invariant"
 	"sandcourse/internal/reservation"
 )
@@ -37,12 +38,22 @@
 	writtenAt             int64           // time at which the last request was written
 	dialedAt              int64
 	drainingResponseSince int64 // start of the drain of a response that is no longer needed; 0 without a drain
+
+	timeoutCheckAt  int64 // time at which the timeouts of the connection are checked
+	timeoutPosition indexheap.Position
 }
 
 // engineConnections holds the connections to engines; the pool decides on their use.
 type engineConnections struct {
 	*connpool.Pool
-	byID map[int64]*EngineConnection
+	byID     map[int64]*EngineConnection
+	timeouts indexheap.Heap[*EngineConnection] // connections that may exceed a timeout
+}
+
+// forget removes a connection that is closed.
+func (c *engineConnections) forget(conn *EngineConnection) {
+	delete(c.byID, conn.ID)
+	c.timeouts.Remove(conn)
 }
 
 func newEngineConnections(cfg config.ConnectionLimits) engineConnections {
@@ -94,6 +105,7 @@
 	if att != nil {
 		att.connection = conn
 	}
+	r.watchTimeouts(conn)
 	if lease.Reused {
 		r.observer.ConnectionChanged(engine, ConnectionReused)
 		r.writeRequest(conn)
@@ -128,7 +140,7 @@
 // handleDialFailure ends a connection whose dial failed. A dial that failed locally does not count against the engine.
 func (r *Router) handleDialFailure(conn *EngineConnection, err error) {
 	r.connections.Handle(conn.ID, connpool.DialFailed, r.now)
-	delete(r.connections.byID, conn.ID)
+	r.connections.forget(conn)
 	reason := reasonDialFailed + AttemptReason(err.Error())
 	if !errors.Is(err, ErrLocal) {
 		r.observer.ConnectionChanged(conn.Engine, DialFailed)
@@ -199,7 +211,7 @@
 func (r *Router) EngineDisconnected(conn *EngineConnection) {
 	if r.connections.byID[conn.ID] == conn {
 		r.connections.Handle(conn.ID, connpool.Broken, r.now)
-		delete(r.connections.byID, conn.ID)
+		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionBroken)
 	}
 	r.failAssigned(conn, attempt.ConnectionReset, reasonConnectionLost)
@@ -217,7 +229,7 @@
 
 func (r *Router) closeConnection(id int64) {
 	if conn := r.connections.byID[id]; conn != nil {
-		delete(r.connections.byID, id)
+		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionClosed)
 		if conn.socket != nil {
 			conn.socket.Close()
@@ -239,24 +251,3 @@
 		r.finishControlRequest(control, nil, nil)
 	}
 }
-
-// reapConnections closes connections that have been idle for too long, and those that wait too long for a dial or a
-// response.
-func (r *Router) reapConnections() {
-	for _, id := range r.connections.ExpiredConnections(r.now) {
-		r.connections.Handle(id, connpool.IdleExpired, r.now)
-		r.closeConnection(id)
-	}
-	observed := r.enginesObserved()
-	for _, id := range r.connections.IDs() {
-		conn := r.connections.byID[id]
-		if conn == nil {
-			continue
-		}
-		if conn.drainingResponseSince > 0 && observed-conn.drainingResponseSince > responseDrainTimeout ||
-			conn.control != nil && observed-conn.control.startedAt > r.controlTimeout() ||
-			conn.socket == nil && observed-conn.dialedAt > 2*int64(r.config.Connections.DialTimeout) {
-			r.discardConnection(conn)
-		}
-	}
-}
--- a/internal/router/engine_responses.go
+++ b/internal/router/engine_responses.go
@@ -10,7 +10,7 @@
 // ResponseHead handles the head of an engine's response. The relay is that of the response's stream, or nil.
 func (r *Router) ResponseHead(conn *EngineConnection, head *http.Response, relay Relay) {
 	conn.streamed = conn.attempt != nil && conn.attempt.decode
-	r.endpoints.lastResponseAt[conn.Engine] = r.now
+	r.endpoints.responders.record(conn.Engine)
 	switch {
 	case conn.attempt != nil:
 		att := conn.attempt
@@ -69,7 +69,7 @@
 	}
 	if control := conn.control; control != nil {
 		conn.control = nil
-		conn.drainingResponseSince = r.now
+		r.startResponseDrain(conn)
 		r.finishControlRequest(control, control.head, body)
 	}
 	if r.connections.byID[conn.ID] != conn || conn.socket == nil {
--- a/internal/router/reference_test.go
+++ b/internal/router/reference_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -23,11 +24,15 @@
 type fleetSimulation struct {
 	router *Router
 	now    int64
+
+	respondedAt map[string]int64 // time of the last response of each engine that is listed
+	idleAt      map[string]int64 // time at which a connection to the engine last became idle
 }
 
 func newFleetSimulation(t *rapid.T) *fleetSimulation {
-	s := &fleetSimulation{router: &Router{environment: environment{config: config.Defaults()}, endpoints: newEndpointState(),
-		connections: newEngineConnections(config.Defaults().Connections)}, now: int64(time.Hour)}
+	s := &fleetSimulation{router: &Router{environment: environment{config: config.Defaults(), observer: listOnlyObserver{}}, endpoints: newEndpointState(),
+		connections: newEngineConnections(config.Defaults().Connections)}, now: int64(time.Hour),
+		respondedAt: map[string]int64{}, idleAt: map[string]int64{}}
 	s.publishRandomList(t)
 	return s
 }
@@ -48,6 +53,7 @@
 	slices.SortFunc(list.Entries, func(a, b endpoint.Entry) int { return cmp.Compare(a.ID, b.ID) })
 	s.router.endpoints.recordEngines(listed, s.now)
 	s.router.endpoints.setCurrent(list)
+	maps.DeleteFunc(s.respondedAt, func(engine string, _ int64) bool { return !s.router.endpoints.isListed(engine) })
 }
 
 // applyRandomEvent advances the clock and applies a random event.
@@ -58,11 +64,16 @@
 	case 0:
 		s.publishRandomList(t)
 	case 1:
-		s.router.endpoints.lastResponseAt[randomEngine(t)] = s.now - rapid.Int64Range(0, 3).Draw(t, "age of the response")
+		if engine := randomEngine(t); s.router.endpoints.isListed(engine) {
+			s.router.endpoints.responders.record(engine)
+			s.respondedAt[engine] = s.now
+		}
 	default:
-		if lease := s.router.connections.Acquire(randomEngine(t), s.now, 0, 0); lease.OK && rapid.Bool().Draw(t, "idle") {
+		engine := randomEngine(t)
+		if lease := s.router.connections.Acquire(engine, s.now, 0, 0); lease.OK && rapid.Bool().Draw(t, "idle") {
 			s.router.connections.Handle(lease.ID, connpool.Dialed, s.now)
 			s.router.connections.Handle(lease.ID, connpool.Released, s.now)
+			s.idleAt[engine] = s.now
 		}
 	}
 }
@@ -74,8 +85,7 @@
 			engines = append(engines, entry.ID)
 		}
 	}
-	lastResponseAt := s.router.endpoints.lastResponseAt
-	slices.SortStableFunc(engines, func(a, b string) int { return cmp.Compare(lastResponseAt[b], lastResponseAt[a]) })
+	slices.SortStableFunc(engines, func(a, b string) int { return cmp.Compare(s.respondedAt[b], s.respondedAt[a]) })
 	if i := slices.Index(engines, reserved.Engine); i >= 0 {
 		engines = slices.Insert(slices.Delete(engines, i, i+1), 0, reserved.Engine)
 	}
@@ -85,16 +95,20 @@
 // scanFirstTargets returns the engines that the first release is sent to.
 func (s *fleetSimulation) scanFirstTargets(reserved *reservation.Reservation) []string {
 	engines := s.scanReleaseCandidates(reserved)
-	connected := slices.IndexFunc(engines, func(engine string) bool {
-		return engine != reserved.Engine && s.router.connections.HasReusable(engine, s.now, s.router.config.Connections.IdleTimeout)
-	})
+	connected := ""
+	for _, engine := range engines {
+		reusable := s.router.connections.HasReusable(engine, s.now, s.router.config.Connections.IdleTimeout)
+		if engine != reserved.Engine && reusable && (connected == "" || s.idleAt[engine] > s.idleAt[connected]) {
+			connected = engine
+		}
+	}
 	switch {
-	case connected < 0:
+	case connected == "":
 		return engines[:min(1, len(engines))]
 	case engines[0] != reserved.Engine:
-		return engines[connected : connected+1]
+		return []string{connected}
 	}
-	return []string{reserved.Engine, engines[connected]}
+	return []string{reserved.Engine, connected}
 }
 
 func TestReleaseTargetsMatchFullScan(t *testing.T) {
@@ -188,8 +202,9 @@
 	}
 }
 
-// listOnlyObserver is the observer of a router whose only events are endpoint lists.
+// listOnlyObserver is the observer of a router whose only events are endpoint lists and changes of connections.
 type listOnlyObserver struct{ Observer }
 
-func (listOnlyObserver) AroundStep(_ routing.Event, step func()) { step() }
-func (listOnlyObserver) EndpointsUpdated(int64, int, []string)   {}
+func (listOnlyObserver) AroundStep(_ routing.Event, step func())   { step() }
+func (listOnlyObserver) EndpointsUpdated(int64, int, []string)     {}
+func (listOnlyObserver) ConnectionChanged(string, ConnectionEvent) {}
--- a/internal/router/reservations.go
+++ b/internal/router/reservations.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"cmp"
-
 	"sandcourse/internal/attempt"
 	"sandcourse/internal/config"
 	"sandcourse/internal/protocol"
@@ -18,6 +16,9 @@
 // must not delay the release at the next one.
 const parallelReleases = 2
 
+// maxReleasesPerTurn is how many reservations are released between two looks at the input. A release takes some ten microseconds.
+const maxReleasesPerTurn = 8
+
 func newReservationTable(cfg *config.Deployment, codec protocol.Codec) *reservation.Table {
 	return reservation.New(reservation.LimitsFor(cfg.Rules.ReservationLimit, codec.ReleaseReachesAllEngines(),
 		reservationsPerRequest*cfg.Limits.OpenRequests))
@@ -75,6 +76,18 @@
 	}
 }
 
+// advanceDueReservations performs the actions that are due for reservations, those that have been due for longest first. What is
+// more than maxReleasesPerTurn waits for the next turn: the responses and requests that wait for the router come before it.
+func (r *Router) advanceDueReservations() {
+	for range maxReleasesPerTurn {
+		reserved := r.reservations.FirstDue(r.now)
+		if reserved == nil {
+			return
+		}
+		r.advanceReservation(reserved)
+	}
+}
+
 // advanceReservation performs the action that is due for a reservation.
 func (r *Router) advanceReservation(reserved *reservation.Reservation) {
 	action, expiredState := r.reservations.HandleDue(reserved, r.now)
@@ -131,21 +144,11 @@
 	return []string{reserved.Engine, connectedEngine}
 }
 
-// latestConnectedResponder returns, of the listed engines with an idle connection, the one that responded last; empty if no
-// engine other than except has one.
-func (r *Router) latestConnectedResponder(except string) (last string) {
-	for _, engine := range r.connections.ReusableEngines(r.now, r.config.Connections.IdleTimeout) {
-		if engine != except && r.endpoints.isListed(engine) && (last == "" || r.endpoints.respondedLater(engine, last)) {
-			last = engine
-		}
-	}
-	return last
-}
-
-// respondedLater reports whether an engine responded later than another. Of two that responded at the same time, or never,
-// the first by ID counts as later.
-func (e *endpointState) respondedLater(engine, other string) bool {
-	return cmp.Or(cmp.Compare(e.lastResponseAt[other], e.lastResponseAt[engine]), cmp.Compare(engine, other)) < 0
+// latestConnectedResponder returns, of the listed engines with an idle connection, the one that completed a response last; empty
+// if no engine other than except has one.
+func (r *Router) latestConnectedResponder(except string) string {
+	return r.connections.LatestIdleEngine(r.now, r.config.Connections.IdleTimeout,
+		func(engine string) bool { return engine != except && r.endpoints.isListed(engine) })
 }
 
 // releaseCandidates returns the next listed engines that the release was not sent to yet; once it was sent to all, the
@@ -170,17 +173,12 @@
 }
 
 // nextReleaseCandidate returns the first listed engine that is not excluded; empty if all are excluded.
-func (r *Router) nextReleaseCandidate(reservingEngine string, excluded map[string]bool) (next string) {
+func (r *Router) nextReleaseCandidate(reservingEngine string, excluded map[string]bool) string {
 	isCandidate := func(engine string) bool { return !excluded[engine] && r.endpoints.isListed(engine) }
 	if isCandidate(reservingEngine) {
 		return reservingEngine
 	}
-	for engine := range r.endpoints.lastResponseAt {
-		if isCandidate(engine) && (next == "" || r.endpoints.respondedLater(engine, next)) {
-			next = engine
-		}
-	}
-	if next != "" {
+	if next := r.endpoints.responders.first(isCandidate); next != "" {
 		return next
 	}
 	for _, entry := range r.endpoints.current.Entries { // engines that never responded
--- a/internal/router/reservations_test.go
+++ b/internal/router/reservations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -227,3 +228,57 @@
 		t.Error("no release is sent when dials succeed again after 8 s")
 	}
 }
+
+// countAllReleases counts the releases that were written so far, for any request.
+func (b *testbed) countAllReleases() (n int) {
+	for _, s := range b.engineSockets {
+		n += strings.Count(s.written.String(), "DELETE ")
+	}
+	return n
+}
+
+// acknowledgeReleases lets all dials succeed and answers each release that is in flight.
+func (b *testbed) acknowledgeReleases() {
+	for len(b.dials) > 0 {
+		b.connect()
+	}
+	for _, s := range b.engineSockets {
+		if pending := strings.Count(s.written.String(), "DELETE ") - s.acknowledged; pending > 0 && !s.closed {
+			s.acknowledged++
+			b.respond(s, 204, nil, "")
+		}
+	}
+}
+
+// Case 6 of the second review: a node with thousands of due releases sent all of them before it looked at its input again. A turn
+// sends a few, and the rest follow in later turns at the same time.
+func TestDueReleasesAreSpreadOverTurns(t *testing.T) {
+	const abandoned, maxReleasesInTurn = 40, 16
+	b := newUnacknowledgedTestbed(t)
+	for i := range abandoned {
+		client, _ := b.request(fmt.Sprint("q", i), "chat")
+		for len(b.dials) > 0 {
+			b.connect()
+		}
+		b.do(func() { b.core.ClientDisconnected(client) })
+	}
+	for range 3 * abandoned {
+		b.acknowledgeReleases()
+	}
+	if held := b.core.InFlight().Reservations; held != abandoned {
+		t.Fatalf("%d reservations are held, want %d", held, abandoned)
+	}
+	b.now += int64(time.Second)
+	sent, turns := b.countAllReleases(), 0
+	for b.core.NextDue() <= b.now {
+		b.core.RunDue(b.now)
+		turns++
+		if more := b.countAllReleases() - sent; more > maxReleasesInTurn {
+			t.Fatalf("%d releases in turn %d, want at most %d", more, turns, maxReleasesInTurn)
+		}
+		sent = b.countAllReleases()
+	}
+	if turns < abandoned*2/maxReleasesInTurn {
+		t.Errorf("%d turns", turns)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -73,9 +73,7 @@
 // RunDue processes the timers, releases and timeouts that are due at the time now, and flushes the output to clients.
 func (r *Router) RunDue(now int64) {
 	r.SetTime(now)
-	for _, reserved := range r.reservations.DueBy(now) {
-		r.advanceReservation(reserved)
-	}
+	r.advanceDueReservations()
 	r.fireTimers()
 	r.endStalledStreams()
 	if r.startReapIfDue() {
--- a/internal/router/testbed_test.go
+++ b/internal/router/testbed_test.go
@@ -89,6 +89,7 @@
 
 	hasUnreadInput bool // input may have arrived that was not passed to the router
 	confirming     bool // the router waits for EngineInputConfirmed
+	acknowledged   int  // number of releases that were answered
 }
 
 func (s *fakeEngineSocket) Write(request []byte) error { s.written.Write(request); return nil }
