--- a/internal/config/deployment.go
+++ b/internal/config/deployment.go
@@ -122,6 +122,9 @@
 	// ReleaseRepeatTime is how long releases are repeated after an attempt was abandoned, for engines that do not remember
 	// releases. Such an attempt may continue after its connection ended, and make or return its reservation only later.
 	ReleaseRepeatTime time.Duration
+	// AbandonWait is how long a router that has abandoned an attempt, and has ended its sending, waits for the engine to end its
+	// side. An engine that ends it has noticed. 0 if connections of abandoned attempts are closed at once.
+	AbandonWait time.Duration
 }
 
 // Defaults returns a deployment with default values and without routes, kinds or engines.
--- a/internal/connpool/acquire.go
+++ b/internal/connpool/acquire.go
@@ -1,6 +1,7 @@
 package connpool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -44,13 +45,13 @@
 }
 
 // limitReached reports whether a limit forbids a further connection to an engine, and returns the connection to close for it: of
-// those that count against the limit, the one that has been idle longest; nil if none is idle.
+// those that count against the limit, the one that has been idle longest, or else half-closed longest; nil without one.
 func (p *Pool) limitReached(to *engineConnections, spare int) (full bool, evict *connection) {
 	switch {
 	case p.limits.Total > 0 && len(p.connections) >= p.limits.Total+spare:
-		return true, p.idle.oldest
+		return true, cmp.Or(p.idle.oldest, p.halfClosed.oldest)
 	case to.count >= p.limits.PerEngine+spare:
-		return true, to.longestIdle()
+		return true, cmp.Or(first(to.idle), first(to.halfClosed))
 	}
 	return false, nil
 }
@@ -76,12 +77,12 @@
 	return nil
 }
 
-// longestIdle returns the connection that has been idle longest; nil if none is idle.
-func (e *engineConnections) longestIdle() *connection {
-	if len(e.idle) == 0 {
+// first returns the first connection of a list; nil if the list is empty.
+func first(list []*connection) *connection {
+	if len(list) == 0 {
 		return nil
 	}
-	return e.idle[0]
+	return list[0]
 }
 
 // open adds a connection that is to be dialed.
@@ -102,7 +103,7 @@
 // LatestIdleEngine returns, of the accepted engines to which Acquire would reuse a connection, the one whose connection became idle
 // last; empty if there is none. An engine that has just answered is likely to answer again.
 func (p *Pool) LatestIdleEngine(now int64, maxIdle time.Duration, accept func(engine string) bool) string {
-	for c := p.idle.newest; c != nil && p.withinIdleLimit(c, now, maxIdle); c = c.earlierIdle {
+	for c := p.idle.newest; c != nil && p.withinIdleLimit(c, now, maxIdle); c = c.earlier {
 		if now >= c.reusableAt && accept(c.engine.engine) {
 			return c.engine.engine
 		}
--- a/internal/connpool/indexes_test.go
+++ b/internal/connpool/indexes_test.go
@@ -29,7 +29,7 @@
 // checkEngine compares the pool's view of one engine with a scan.
 func checkEngine(t *rapid.T, p *Pool, engine string, now int64) {
 	count, dialing := 0, 0
-	var shortest, longest *connection
+	var shortest, longest, halfClosed *connection
 	for _, c := range p.connections {
 		if c.engine.engine != engine {
 			continue
@@ -38,6 +38,9 @@
 		if c.state == Dialing {
 			dialing++
 		}
+		if c.state == HalfClosed && (halfClosed == nil || c.stateSince < halfClosed.stateSince) {
+			halfClosed = c
+		}
 		if c.state != Idle {
 			continue
 		}
@@ -49,7 +52,8 @@
 		}
 	}
 	to := p.connectionsTo(engine)
-	if to.count != count || to.dialing != dialing || to.shortestIdle(now) != shortest || to.longestIdle() != longest {
+	if to.count != count || to.dialing != dialing || to.shortestIdle(now) != shortest || first(to.idle) != longest ||
+		first(to.halfClosed) != halfClosed {
 		t.Fatalf("engine %s: %d connections, %d dials, a scan finds %d, %d; or another idle connection", engine, to.count, to.dialing, count, dialing)
 	}
 }
@@ -71,7 +75,7 @@
 		}
 	}
 	listed := 0
-	for c := p.idle.oldest; c != nil; c = c.laterIdle {
+	for c := p.idle.oldest; c != nil; c = c.later {
 		listed++
 	}
 	want := ""
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -23,7 +23,7 @@
 	stateSince int64
 	reusableAt int64 // earliest time of the next reuse
 
-	earlierIdle, laterIdle *connection // neighbors among all idle connections
+	earlier, later *connection // neighbors in the list of the connection's state
 }
 
 // engineConnections are the connections to one engine.
@@ -31,6 +31,7 @@
 	engine         string
 	count, dialing int
 	idle           []*connection // in the order in which they became idle
+	halfClosed     []*connection // in the order in which the sending on them ended
 }
 
 // Pool holds the state of all connections of one router to engines. Times are in nanoseconds since the start of the
@@ -39,7 +40,7 @@
 	limits           Limits
 	connections      map[int64]*connection
 	byEngine         map[string]*engineConnections
-	idle             idleList
+	idle, halfClosed stateList
 	earlyCloses      earlyCloses
 	nextID           int64
 	firedTransitions uint64
@@ -78,32 +79,38 @@
 
 // setState changes the state of a connection, and keeps the counts and lists of connections by state.
 func (p *Pool) setState(c *connection, next State, now int64) {
-	if c.state == Idle {
-		p.idle.remove(c)
-		c.engine.removeIdle(c)
-	}
-	if c.state == Dialing {
+	switch c.state {
+	case Dialing:
 		c.engine.dialing--
+	case Idle:
+		p.idle.remove(c)
+		c.engine.idle = withoutConnection(c.engine.idle, c)
+	case HalfClosed:
+		p.halfClosed.remove(c)
+		c.engine.halfClosed = withoutConnection(c.engine.halfClosed, c)
 	}
 	c.state, c.stateSince = next, now
 	switch next {
+	case Dialing:
+		c.engine.dialing++
 	case Idle:
 		p.idle.add(c)
 		c.engine.idle = append(c.engine.idle, c)
-	case Dialing:
-		c.engine.dialing++
+	case HalfClosed:
+		p.halfClosed.add(c)
+		c.engine.halfClosed = append(c.engine.halfClosed, c)
 	}
 }
 
-// removeIdle removes a connection from the idle ones. The connection that became idle last is reused first, so the search begins at
-// the end.
-func (e *engineConnections) removeIdle(c *connection) {
-	for i := len(e.idle) - 1; i >= 0; i-- {
-		if e.idle[i] == c {
-			e.idle = slices.Delete(e.idle, i, i+1)
-			return
+// withoutConnection returns a list without a connection. The connection that became idle last is reused first, so the search
+// begins at the end.
+func withoutConnection(list []*connection, c *connection) []*connection {
+	for i := len(list) - 1; i >= 0; i-- {
+		if list[i] == c {
+			return slices.Delete(list, i, i+1)
 		}
 	}
+	return list
 }
 
 func (p *Pool) remove(c *connection, now int64) {
@@ -119,7 +126,7 @@
 // the event IdleExpired to Handle.
 func (p *Pool) ExpiredConnections(now int64) []int64 {
 	var ids []int64
-	for c := p.idle.oldest; c != nil && time.Duration(now-c.stateSince) >= p.limits.IdleTimeout; c = c.laterIdle {
+	for c := p.idle.oldest; c != nil && time.Duration(now-c.stateSince) >= p.limits.IdleTimeout; c = c.later {
 		ids = append(ids, c.id)
 	}
 	slices.Sort(ids)
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -76,6 +76,9 @@
 		m.busy[id] = false
 	}
 	m.dirty[id] = m.dirty[id] || event == ReleasedDirty || event == Broken
+	if m.pool.State(id) == HalfClosed { // The connection may be evicted, but not be reused.
+		m.busy[id], m.dirty[id] = false, true
+	}
 }
 
 func TestConnectionIdleForTooLongIsNotReused(t *testing.T) {
@@ -124,6 +127,27 @@
 	}
 }
 
+// A half-closed connection makes room for a new one if none is idle, and is never reused.
+func TestHalfClosedConnectionIsEvictedAfterIdleOnes(t *testing.T) {
+	for name, limits := range map[string]Limits{"per engine": {PerEngine: 2, ConcurrentDials: 9, IdleTimeout: 1000},
+		"total": {PerEngine: 9, ConcurrentDials: 9, Total: 2, IdleTimeout: 1000}} {
+		p := New(limits)
+		halfClosed, idle := p.Acquire("a", 1, 1000, 0), p.Acquire("a", 1, 1000, 0)
+		p.Handle(halfClosed.ID, Dialed, 2)
+		p.Handle(idle.ID, Dialed, 2)
+		p.Handle(halfClosed.ID, SendingEnded, 3)
+		p.Handle(idle.ID, Released, 4)
+		for i, want := range []int64{idle.ID, halfClosed.ID} {
+			if lease := p.Acquire("a", 5, 0, 0); !lease.OK || lease.Reused || lease.Evict != want {
+				t.Errorf("%s: lease %d is %+v, want one that evicts %d", name, i, lease, want)
+			}
+		}
+		if lease := p.Acquire("a", 6, 1000, 0); lease.OK {
+			t.Errorf("%s: a third connection is granted: %+v", name, lease)
+		}
+	}
+}
+
 // After an early close of an idle connection, no connection to the same engine is reused for a while, and no connection at
 // all for attempts that must not run twice. A close after a longer idle time does not count.
 func TestEarlyClosePreventsReuse(t *testing.T) {
--- a/internal/connpool/state.go
+++ b/internal/connpool/state.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// State is the state of a connection. Half-closed connections have no state of their own: the socket library closes a
-// connection completely when the other side closes its half. That is the safe interpretation, as no more data can be read
-// from such a connection.
+// State is the state of a connection. Connections that the other side has half-closed have no state of their own: the socket
+// library closes a connection completely when the other side closes its half. That is the safe interpretation, as no more data
+// can be read from such a connection.
 type State uint8
 
 // The states of a connection.
@@ -16,10 +16,11 @@
 	Dialing
 	Idle
 	Busy
+	HalfClosed // this side has ended its sending, and waits for the other side to end the connection
 	Closed
 )
 
-var stateNames = [...]string{Absent: "absent", Dialing: "dialing", Idle: "idle", Busy: "busy", Closed: "closed"}
+var stateNames = [...]string{Absent: "absent", Dialing: "dialing", Idle: "idle", Busy: "busy", HalfClosed: "half-closed", Closed: "closed"}
 
 // String returns the state's name.
 func (s State) String() string { return stateNames[s] }
@@ -36,8 +37,9 @@
 	Released                         // the response has been read completely, no unread bytes remain
 	ReleasedAfterStream              // the same as Released, for a response that was a stream
 	ReleasedDirty                    // the request on the connection ended in any other way
+	SendingEnded                     // this side has ended its sending, as the request on the connection is abandoned
 	Broken                           // the connection is lost
-	IdleExpired                      // the connection has been idle for longer than is allowed
+	IdleExpired                      // the connection has been idle or half-closed for longer than is allowed, or makes room
 )
 
 var eventNames = [...]string{
@@ -48,6 +50,7 @@
 	Released:            "released",
 	ReleasedAfterStream: "released after stream",
 	ReleasedDirty:       "released dirty",
+	SendingEnded:        "sending ended",
 	Broken:              "broken",
 	IdleExpired:         "idle expired",
 }
@@ -85,11 +88,12 @@
 	{[]State{Idle}, Acquired, Busy, NoAction},
 	{[]State{Busy}, Released, Idle, NoAction},
 	{[]State{Busy}, ReleasedAfterStream, Idle, NoAction},
-	{[]State{Idle}, IdleExpired, Closed, Close},
-	{[]State{Dialing, Busy}, ReleasedDirty, Closed, Close},
+	{[]State{Busy}, SendingEnded, HalfClosed, NoAction},
+	{[]State{Idle, HalfClosed}, IdleExpired, Closed, Close},
+	{[]State{Dialing, Busy, HalfClosed}, ReleasedDirty, Closed, Close},
 	// A byte received on an idle connection belongs to no request: it is the rest of an earlier response.
 	{[]State{Idle}, ReleasedDirty, Closed, Close},
-	{[]State{Dialing, Idle, Busy}, Broken, Closed, Close},
+	{[]State{Dialing, Idle, Busy, HalfClosed}, Broken, Closed, Close},
 }
 
 // findTransition returns the index of the transition of an event in a state; -1 if the event has no transition.
--- a/internal/edge/engine_connection.go
+++ b/internal/edge/engine_connection.go
@@ -4,8 +4,10 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 
 	"sandcourse/internal/protocol/chat"
 	"sandcourse/internal/protocol/httpframing"
@@ -42,6 +44,8 @@
 
 	bytesToWrite int64 // accessed only by the owner
 	bytesWritten atomic.Int64
+	sendingEnded atomic.Bool // set by the owner
+	endedByPeer  atomic.Bool // set by the poller before the connection is closed
 }
 
 func newEngineConnection(e *Edge, state *router.EngineConnection, conn *nbio.Conn) *engineConnection {
@@ -75,6 +79,23 @@
 	return false
 }
 
+// EndSending ends the sending direction. The lock keeps the library from closing the descriptor, which another connection could
+// get, before the call.
+func (c *engineConnection) EndSending() bool {
+	if !c.RequestWritten() {
+		return false
+	}
+	c.sendingEnded.Store(true)
+	c.conn.Lock()
+	defer c.conn.Unlock()
+	closed, _ := c.conn.IsClosed()
+	return !closed && unix.Shutdown(c.conn.Hash(), unix.SHUT_WR) == nil
+}
+
+// EndedByPeer reports whether the engine has ended or reset the connection. Other errors, such as a timeout of the network, prove
+// nothing.
+func (c *engineConnection) EndedByPeer() bool { return c.endedByPeer.Load() }
+
 // Close closes the connection at once.
 func (c *engineConnection) Close() { c.conn.Close() }
 
@@ -88,15 +109,22 @@
 			c.handleData((*buffer)[:size])
 		}
 		if err != nil {
+			c.endedByPeer.Store(isPeerEnd(err))
 			c.conn.Close()
 			return
 		}
-		if size < len(*buffer) {
+		// The library may close the connection right after this call, so its end has to be read within the call.
+		if size == 0 || size < len(*buffer) && !c.sendingEnded.Load() {
 			return
 		}
 	}
 }
 
+// isPeerEnd reports whether an error of a read means that the engine has ended or reset the connection.
+func isPeerEnd(err error) bool {
+	return errors.Is(err, errPeerClosed) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // handleData parses bytes from the engine into tasks for the owner, and relays tokens.
 func (c *engineConnection) handleData(data []byte) {
 	if c.failed {
--- a/internal/emulator/connection.go
+++ b/internal/emulator/connection.go
@@ -145,6 +145,12 @@
 // ConfirmInput returns true: responses are passed to the router at once.
 func (c *connection) ConfirmInput() bool { return true }
 
+// EndSending returns false: connections are only closed completely.
+func (c *connection) EndSending() bool { return false }
+
+// EndedByPeer returns false: the router awaits the end of no connection.
+func (c *connection) EndedByPeer() bool { return false }
+
 // Close closes the connection and aborts its request.
 func (c *connection) Close() {
 	c.closed = true
--- a/internal/modelcheck/connection.go
+++ b/internal/modelcheck/connection.go
@@ -41,6 +41,8 @@
 	established      bool
 	closed           bool
 	partlyWritten    bool  // the kernel has accepted only part of the last request
+	halfClosed       bool  // the router has ended its sending, as the request is abandoned
+	endedByEngine    bool  // the engine has ended the connection
 	hasUnreadBytes   bool  // the router has not read the remaining bytes of a finished response
 	hangingSince     int64 // time at which the dial began to hang; 0 if it does not hang
 	request          *engineRequest
@@ -116,6 +118,31 @@
 // ConfirmInput returns true: responses are passed to the router at once.
 func (c *simulatedConnection) ConfirmInput() bool { return true }
 
+// EndSending ends the sending direction, in worlds in which routers do so. The engine may notice later, or never.
+func (c *simulatedConnection) EndSending() bool {
+	if c.closed || c.request == nil || c.partlyWritten {
+		return false
+	}
+	c.halfClosed = true
+	if c.request.kind == DecodeRequest {
+		c.simulation.recordPossibleRun(c.request)
+	}
+	c.simulation.reservations.restartIdleTime(c.request.requestID, c.simulation.now)
+	return true
+}
+
+// EndedByPeer reports whether the engine has ended the connection.
+func (c *simulatedConnection) EndedByPeer() bool { return c.endedByEngine }
+
+// endHalfClosed ends a half-closed connection from the engine's side, which has noticed that the request is abandoned.
+func (s *simulation) endHalfClosed(c *simulatedConnection, leavesReservation bool) {
+	if leavesReservation {
+		s.reservations.add(c.request, s.now)
+	}
+	c.closed, c.endedByEngine, c.request = true, true, nil
+	s.handle(func() { s.core.EngineDisconnected(c.engineConnection) })
+}
+
 // Close closes the connection from the router's side.
 func (c *simulatedConnection) Close() {
 	if c.closed {
@@ -162,10 +189,11 @@
 	s.handle(func() { s.core.EngineDisconnected(c.engineConnection) })
 }
 
-// attemptsInFlight counts the attempts of a request that engines have received and not finished.
+// attemptsInFlight counts the attempts of a request that engines have received and not finished, and that the router has not given
+// up.
 func (s *simulation) attemptsInFlight(requestID string) (count int) {
 	for _, c := range s.connections {
-		if !c.closed && c.request != nil && c.request.requestID == requestID && c.request.isAttempt() {
+		if !c.closed && !c.halfClosed && c.request != nil && c.request.requestID == requestID && c.request.isAttempt() {
 			count++
 		}
 	}
--- a/internal/modelcheck/events.go
+++ b/internal/modelcheck/events.go
@@ -125,10 +125,22 @@
 		return false
 	default:
 		s.addResponses(list, r)
+		if c.halfClosed {
+			s.addHalfClosedEvents(list, c)
+		}
 		return true
 	}
 }
 
+// addHalfClosedEvents adds the ways in which an engine lets go of an abandoned attempt.
+func (s *simulation) addHalfClosedEvents(list *eventList, c *simulatedConnection) {
+	r, engine := c.request, c.engineConnection.Engine
+	list.addNamed(noFault, func() { s.endHalfClosed(c, false) }, "%s ends the abandoned %s", engine, r.describe())
+	if r.kind == PrefillRequest {
+		list.addNamed(noFault, func() { s.endHalfClosed(c, true) }, "%s ends the abandoned %s, and holds its reservation", engine, r.describe())
+	}
+}
+
 // establish completes a dial.
 func (s *simulation) establish(c *simulatedConnection) {
 	c.established = true
--- a/internal/modelcheck/fingerprint.go
+++ b/internal/modelcheck/fingerprint.go
@@ -45,7 +45,7 @@
 		if c.hangingSince > 0 {
 			hanging = 1 + s.now - c.hangingSince
 		}
-		line := fmt.Sprint(c.engineConnection.Engine, c.established, c.hasUnreadBytes, c.partlyWritten, hanging)
+		line := fmt.Sprint(c.engineConnection.Engine, c.established, c.hasUnreadBytes, c.partlyWritten, hanging, c.halfClosed)
 		if r := c.request; r != nil {
 			line += fmt.Sprint(r.requestID, r.kind, r.attempt, r.unresponsive, r.firstTokenSent, r.secondTokenSent)
 		}
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -23,7 +23,7 @@
 // nearly all transitions of the state machines.
 func TestWorldsHaveNoViolations(t *testing.T) {
 	var coverage Coverage
-	for _, name := range []string{"one", "two", "limit", "nodes-two", "roles", "roles-last", "roles-edges"} {
+	for _, name := range []string{"one", "two", "limit", "abandon", "nodes-two", "roles", "roles-last", "roles-edges"} {
 		w, _ := FindWorld(name)
 		r := NewSnapshot(w).Explore(Limits{Workers: 4}, nil)
 		reportViolations(t, r)
--- a/internal/modelcheck/world.go
+++ b/internal/modelcheck/world.go
@@ -22,12 +22,13 @@
 	Faults               int             `json:"faults"`  // maximum number of faults that the adversary may inject
 	FaultKinds           []FaultKind     `json:"kinds"`   // kinds of fault that the adversary may inject; all if empty
 	ConnectionsPerEngine int             `json:"lines_per_engine"`
-	HealthChecks         bool            `json:"probes"` // the router polls the load of engines
-	MaxOpenRequests      int             `json:"open"`   // maximum number of admitted requests per router; 0 for no limit
-	Routers              int             `json:"nodes"`  // routers that share the engines, each with its own clients; 0 means 1
-	AllInterleavings     bool            `json:"plain"`  // all interleavings of events of different routers are tried
-	RoleChanges          bool            `json:"roles"`  // the planner and role changes are simulated, without requests
-	Crowd                bool            `json:"crowd"`  // one long seeded simulation is run instead, see SimulateCrowd
+	HealthChecks         bool            `json:"probes"`     // the router polls the load of engines
+	MaxOpenRequests      int             `json:"open"`       // maximum number of admitted requests per router; 0 for no limit
+	Routers              int             `json:"nodes"`      // routers that share the engines, each with its own clients; 0 means 1
+	AllInterleavings     bool            `json:"plain"`      // all interleavings of events of different routers are tried
+	RoleChanges          bool            `json:"roles"`      // the planner and role changes are simulated, without requests
+	HalfClose            bool            `json:"half_close"` // the router awaits the engines' ends of abandoned attempts
+	Crowd                bool            `json:"crowd"`      // one long seeded simulation is run instead, see SimulateCrowd
 }
 
 // FaultKind names a kind of fault that the adversary may inject.
@@ -77,6 +78,7 @@
 	tick                        = 5 * time.Millisecond
 	drainGrace                  = 50 * time.Millisecond
 	reservationLimit            = 200 * time.Millisecond
+	releaseRepeatTime           = 3 * reservationLimit
 	stallTimeout                = 100 * time.Millisecond
 	idleTimeout                 = 150 * time.Millisecond
 	dialTimeout                 = 100 * time.Millisecond
@@ -104,6 +106,9 @@
 	if w.MaxOpenRequests > 0 {
 		d.Limits.OpenRequests = w.MaxOpenRequests
 	}
+	if w.HalfClose {
+		d.AbandonWait, d.ReleaseRepeatTime = reservationLimit, releaseRepeatTime
+	}
 	d.NodeCount = max(1, w.Routers)
 	d.Kinds = []config.EngineKind{{Name: "prefill", Role: "read"}, {Name: "decode", Role: "write"}}
 	for _, effect := range config.Effects {
--- a/internal/modelcheck/worlds.go
+++ b/internal/modelcheck/worlds.go
@@ -20,6 +20,8 @@
 		PrefillEngines: 2, DecodeEngines: 2, Effects: []config.Effect{config.EffectDeduped}, Faults: 2},
 	{Name: "two", About: "two requests, one prefill engine, one decode engine, any one fault",
 		PrefillEngines: 1, DecodeEngines: 1, Effects: []config.Effect{config.EffectNonRetriable, config.EffectRetriable}, Faults: 1},
+	{Name: "abandon", About: "one retriable request, one prefill engine, one decode engine, abandoned attempts are half-closed, any two faults",
+		PrefillEngines: 1, DecodeEngines: 1, Effects: []config.Effect{config.EffectRetriable}, Faults: 2, HalfClose: true},
 	{Name: "lines", About: "three requests over two connections to each of one prefill and one decode engine, one reset or truncated response",
 		PrefillEngines: 1, DecodeEngines: 1, Effects: []config.Effect{config.EffectRetriable, config.EffectRetriable, config.EffectRetriable}, Faults: 1, ConnectionsPerEngine: 2,
 		FaultKinds: []FaultKind{FaultReset, FaultTruncated}},
--- a/internal/protocol/platform/deployment.go
+++ b/internal/protocol/platform/deployment.go
@@ -137,6 +137,7 @@
 	}
 	// Releases must be repeated for as long as queued long prefills can take.
 	d.ReleaseRepeatTime = 3 * d.Rules.ReservationLimit
+	d.AbandonWait = d.Rules.ReservationLimit
 }
 
 // stallTimeout returns how long a stream may be silent before it ends. A client that cannot ask for the rest loses the request
--- a/internal/reservation/indexes_test.go
+++ b/internal/reservation/indexes_test.go
@@ -21,7 +21,7 @@
 
 func applyRandomEvent(t *rapid.T, table *Table, now int64) {
 	request := fmt.Sprint("q", rapid.IntRange(0, 7).Draw(t, "request"))
-	times := EventTimes{now, now, now + rapid.Int64Range(0, 3*second).Draw(t, "horizon")}
+	times := EventTimes{Now: now, Since: now, Horizon: now + rapid.Int64Range(0, 3*second).Draw(t, "horizon")}
 	switch rapid.IntRange(0, 3).Draw(t, "kind") {
 	case 0:
 		addAtLimit(t, table, ID{request, rapid.IntRange(0, 2).Draw(t, "attempt")}, times)
@@ -83,7 +83,7 @@
 		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) {
 			table, now := New(LimitsFor(limit, true, 10*held)), start
 			for i := range held {
-				table.Add(ID{fmt.Sprint("q", i), 0}, "r", PrefillLost, EventTimes{now, now, Never})
+				table.Add(ID{fmt.Sprint("q", i), 0}, "r", PrefillLost, EventTimes{Now: now, Since: now, Horizon: Never})
 			}
 			for b.Loop() {
 				r := table.FirstDue(now)
--- a/internal/reservation/reservation.go
+++ b/internal/reservation/reservation.go
@@ -5,7 +5,8 @@
 // the table once an attempt has consumed it, or once an engine has acknowledged a release at a time at which nothing can
 // restore the reservation. An acknowledgement proves nothing while an attempt may still claim the reservation: an
 // engine frees only what no attempt waits for, and it may see the connection of an abandoned attempt close after the
-// release has arrived. So releases are repeated for as long as such an attempt, or an abandoned prefill, may be running.
+// release has arrived. So releases are repeated for as long as such an attempt, or an abandoned prefill, may be running: until its
+// engine has ended its side of the connection, or else for as long as engines may take to notice.
 package reservation
 
 import "fmt"
@@ -31,6 +32,7 @@
 
 	unclaimedSince      int64 // start of the known time without an attempt in flight that may consume the reservation
 	attemptAbandoned    bool  // the attempt that was to consume the reservation may have arrived
+	attemptsEnded       bool  // the engines have ended all abandoned attempts
 	horizon             int64 // releases are repeated until this time
 	unacknowledgedSince int64 // start of the time in which releases were not acknowledged; 0 without an open release
 	unacknowledgedCount int   // number of releases since the last acknowledgement
@@ -41,6 +43,10 @@
 // Acknowledged reports whether an engine has acknowledged a release.
 func (r *Reservation) Acknowledged() bool { return r.acknowledgements > 0 }
 
+// AttemptsEnded reports whether no attempt is left that an acknowledged release could miss, as engines have ended those that were
+// abandoned.
+func (r *Reservation) AttemptsEnded() bool { return r.attemptsEnded }
+
 // UnclaimedSince returns the start of the known time without an attempt in flight that may consume the reservation.
 func (r *Reservation) UnclaimedSince() int64 { return r.unclaimedSince }
 
@@ -51,7 +57,7 @@
 		unacknowledgedFor = now - r.unacknowledgedSince
 	}
 	return fmt.Sprint(r.ID, r.Engine, r.State, r.DueAt-now, max(0, r.horizon-now), unacknowledgedFor, r.unacknowledgedCount,
-		r.acknowledgements, r.ReleaseTargets, r.attemptAbandoned)
+		r.acknowledgements, r.ReleaseTargets, r.attemptAbandoned, r.attemptsEnded)
 }
 
 // startRound starts a new round of releases, after which acknowledgements of the releases so far are ignored.
--- a/internal/reservation/state.go
+++ b/internal/reservation/state.go
@@ -28,6 +28,7 @@
 	AttemptUnsent                         // the sent attempt ended, and its request never arrived completely
 	AttemptRejected                       // an engine has answered the sent attempt without consuming the reservation
 	AttemptAbandoned                      // the sent attempt ended in any other way: its engine may not have noticed yet
+	AttemptsEnded                         // the engines have ended all abandoned attempts
 	Consumed                              // an attempt has consumed the reservation
 	ConsumedBeforeHorizon                 // the same as Consumed, but an abandoned prefill may still leave another reservation
 	Unneeded                              // the request no longer needs the reservation
@@ -44,6 +45,7 @@
 	AttemptUnsent:            "attempt unsent",
 	AttemptRejected:          "attempt rejected",
 	AttemptAbandoned:         "attempt abandoned",
+	AttemptsEnded:            "attempts ended",
 	Consumed:                 "consumed",
 	ConsumedBeforeHorizon:    "consumed before horizon",
 	Unneeded:                 "unneeded",
--- a/internal/reservation/table.go
+++ b/internal/reservation/table.go
@@ -76,6 +76,8 @@
 	Now     int64
 	Since   int64 // the earliest time at which the event may have happened
 	Horizon int64 // latest time at which an abandoned attempt of the request may affect its engine; 0 if no attempt is abandoned
+	// ReleaseAt delays a release that becomes due now, if engines are expected to end abandoned attempts soon; 0 for no delay.
+	ReleaseAt int64
 }
 
 // Add records the reservation of a prefill that has just ended, by PrefillDone or PrefillLost. It returns nil if the table
@@ -123,6 +125,9 @@
 // handle applies one event to one reservation. An event without a transition changes nothing but the horizon.
 func (t *Table) handle(r *Reservation, event Event, times EventTimes) {
 	r.horizon = max(r.horizon, times.Horizon)
+	if event == AttemptsEnded {
+		r.horizon, r.attemptsEnded = times.Horizon, true
+	}
 	if event == Consumed && times.Now < r.horizon {
 		event = ConsumedBeforeHorizon
 	}
@@ -139,7 +144,7 @@
 	case dueAfterKeepTime:
 		t.setDue(r, times.Since+int64(t.limits.KeepTime))
 	case dueNow:
-		t.setDue(r, times.Now)
+		t.setDue(r, max(times.Now, times.ReleaseAt))
 		r.startRound()
 	case dueAfterRepeatInterval:
 		t.setDue(r, times.Now+int64(t.limits.RepeatInterval))
--- a/internal/reservation/table_test.go
+++ b/internal/reservation/table_test.go
@@ -62,7 +62,7 @@
 			if event == AttemptAbandoned || c.events[0] == PrefillLost {
 				attemptHorizon = horizon
 			}
-			table.HandleAttempt(firstID.Request, event, EventTimes{start, start, attemptHorizon})
+			table.HandleAttempt(firstID.Request, event, EventTimes{Now: start, Since: start, Horizon: attemptHorizon})
 		}
 		if r.State != c.want || r.State != None && r.DueAt-start != c.due {
 			t.Errorf("%s: state %v, due after %v", c.name, r.State, time.Duration(r.DueAt-start))
@@ -80,8 +80,8 @@
 	table := newTable(true)
 	r := table.Add(firstID, "r", PrefillDone, timesAt(start))
 	table.HandleAttempt("a", AttemptSent, timesAt(start))
-	table.HandleAttempt("a", AttemptAbandoned, EventTimes{start, start, start + 3*second})
-	table.HandleAttempt("a", Unneeded, EventTimes{start, start, start + 3*second})
+	table.HandleAttempt("a", AttemptAbandoned, EventTimes{Now: start, Since: start, Horizon: start + 3*second})
+	table.HandleAttempt("a", Unneeded, EventTimes{Now: start, Since: start, Horizon: start + 3*second})
 	releases, last := 0, start
 	for now := start; r.State != None; now += second / 100 {
 		if now > start+10*second {
@@ -129,7 +129,7 @@
 func TestUnneededReservationWaitsForTheOneInUse(t *testing.T) {
 	for _, releasesWholeRequest := range []bool{true, false} {
 		table := newTable(releasesWholeRequest)
-		unneeded := table.Add(firstID, "r", PrefillLost, EventTimes{start, start, start + 3*second})
+		unneeded := table.Add(firstID, "r", PrefillLost, EventTimes{Now: start, Since: start, Horizon: start + 3*second})
 		table.HandleDue(unneeded, start)
 		table.Acknowledge(unneeded, unneeded.Round, start)
 		inUse := table.Add(ID{"a", 1}, "r2", PrefillDone, timesAt(start+second/4))
@@ -150,7 +150,7 @@
 		t.Error("a third reservation is added")
 	}
 	full := New(limits)
-	acknowledged := full.Add(firstID, "r", PrefillLost, EventTimes{start, start, start + 9*second})
+	acknowledged := full.Add(firstID, "r", PrefillLost, EventTimes{Now: start, Since: start, Horizon: start + 9*second})
 	full.HandleDue(acknowledged, start)
 	full.Acknowledge(acknowledged, acknowledged.Round, start)
 	full.Add(ID{"b", 0}, "r", PrefillDone, timesAt(start))
@@ -203,14 +203,14 @@
 					horizon = now + 3*second
 				}
 				since := now - int64(rapid.IntRange(0, 300).Draw(t, "late"))
-				table.Add(ID{"a", prefills}, "r", event, EventTimes{now, since, horizon})
+				table.Add(ID{"a", prefills}, "r", event, EventTimes{Now: now, Since: since, Horizon: horizon})
 				prefills++
 			} else {
 				event := rapid.SampledFrom(events).Draw(t, "event")
 				if event == AttemptAbandoned {
 					horizon = now + 3*second
 				}
-				table.HandleAttempt("a", event, EventTimes{now, now, horizon})
+				table.HandleAttempt("a", event, EventTimes{Now: now, Since: now, Horizon: horizon})
 			}
 			acknowledged := rapid.Bool().Draw(t, "acknowledged")
 			for _, r := range table.All() {
--- a/internal/reservation/transitions.go
+++ b/internal/reservation/transitions.go
@@ -34,6 +34,9 @@
 	{[]State{Contested}, AttemptRejected, Releasing, dueNow},
 	{[]State{Contested}, AttemptAbandoned, Releasing, dueNow},
 
+	// A release after this event meets no attempt, so it is the last one once it is acknowledged.
+	{[]State{Releasing}, AttemptsEnded, Releasing, dueNow},
+
 	{[]State{Reserved, Claimed, Contested}, Consumed, None, dueUnchanged},
 	{[]State{Reserved, Claimed}, ConsumedBeforeHorizon, None, dueUnchanged},
 	{[]State{Contested}, ConsumedBeforeHorizon, Releasing, dueAfterRepeatInterval},
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -36,6 +36,7 @@
 	cachedTokens      float64
 	reservationHandle protocol.ReservationHandle
 	loadReport        *routing.LoadReport
+	mayRunUntil       int64 // latest time at which the abandoned attempt may run, unless its engine ends it before; 0 if it is not abandoned
 	verdict           routing.Verdict
 	ended             bool
 	staleConnection   bool // the engine had closed the connection before the request was written
@@ -189,7 +190,9 @@
 	conn.attempt = nil
 	switch {
 	case result.Connection == attempt.MustClose:
-		r.discardConnection(conn)
+		if !r.awaitEngineEnd(att, conn, event) {
+			r.discardConnection(conn)
+		}
 	case event == attempt.EngineUnavailable:
 		r.connections.Handle(conn.ID, connpool.Released, r.now)
 	default:
--- a/internal/router/connection_timeouts.go
+++ b/internal/router/connection_timeouts.go
@@ -25,8 +25,8 @@
 	r.connections.timeouts.Set(conn)
 }
 
-// timeoutOf returns the earliest time at which a connection exceeds a timeout: that of its dial, of its control request, or of the
-// rest of a response; math.MaxInt64 if none applies.
+// timeoutOf returns the earliest time at which a connection exceeds a timeout: that of its dial, of its control request, of the
+// rest of a response, or of the wait for the engine to end an abandoned attempt; math.MaxInt64 if none applies.
 func (r *Router) timeoutOf(conn *EngineConnection) int64 {
 	at := int64(math.MaxInt64)
 	if conn.drainingResponseSince > 0 {
@@ -35,6 +35,9 @@
 	if conn.control != nil {
 		at = min(at, conn.control.startedAt+r.controlTimeout())
 	}
+	if conn.abandoned != nil {
+		at = min(at, conn.abandonedAt+int64(r.config.AbandonWait))
+	}
 	if conn.socket == nil {
 		at = min(at, conn.dialedAt+2*int64(r.config.Connections.DialTimeout))
 	}
--- a/internal/router/engine_connections.go
+++ b/internal/router/engine_connections.go
@@ -39,6 +39,9 @@
 	dialedAt              int64
 	drainingResponseSince int64 // start of the drain of a response that is no longer needed; 0 without a drain
 
+	abandoned   *engineAttempt // the abandoned attempt that the engine is expected to end; nil if there is none
+	abandonedAt int64
+
 	timeoutCheckAt  int64 // time at which the timeouts of the connection are checked
 	timeoutPosition indexheap.Position
 }
@@ -213,6 +216,7 @@
 		r.connections.Handle(conn.ID, connpool.Broken, r.now)
 		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionBroken)
+		r.endAbandonedAttempt(conn, conn.socket != nil && conn.socket.EndedByPeer())
 	}
 	r.failAssigned(conn, attempt.ConnectionReset, reasonConnectionLost)
 }
@@ -231,6 +235,7 @@
 	if conn := r.connections.byID[id]; conn != nil {
 		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionClosed)
+		r.endAbandonedAttempt(conn, false)
 		if conn.socket != nil {
 			conn.socket.Close()
 		}
--- a/internal/router/engine_responses.go
+++ b/internal/router/engine_responses.go
@@ -23,7 +23,7 @@
 		r.handleAttemptEvent(att, r.protocol.ClassifyResponse(head, att.decode), AttemptReason(head.Status))
 	case conn.control != nil:
 		conn.control.head = head
-	case conn.drainingResponseSince == 0:
+	case conn.drainingResponseSince == 0 && conn.abandoned == nil:
 		r.discardConnection(conn)
 	}
 }
@@ -75,8 +75,9 @@
 	if r.connections.byID[conn.ID] != conn || conn.socket == nil {
 		return
 	}
+	r.endAbandonedAttempt(conn, true)
 	conn.drainingResponseSince = 0
-	if !reusable {
+	if !reusable || r.connections.State(conn.ID) == connpool.HalfClosed {
 		r.discardConnection(conn)
 		return
 	}
--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -2,6 +2,9 @@
 
 import "fmt"
 
+// ReleaseDelay is the time for which a release waits for the end of an abandoned attempt.
+const ReleaseDelay = releaseDelay
+
 // HealthCheck sends a health check to an engine.
 func (r *Router) HealthCheck(engine string) { r.startControlRequest(&controlRequest{engine: engine}) }
 
--- a/internal/router/fingerprint.go
+++ b/internal/router/fingerprint.go
@@ -59,6 +59,9 @@
 			assigned = fmt.Sprint("request ", conn.attempt.request.id, " attempt ", conn.attempt.index)
 		} else if conn.control != nil {
 			assigned = "control " + conn.control.describe()
+		} else if att := conn.abandoned; att != nil {
+			assigned = fmt.Sprint("abandoned ", att.request.name, " ", att.index, " ", max(0, att.mayRunUntil-r.now), " ",
+				att.request.awaitedEnds, " ", max(0, att.request.unprovenUntil-r.now))
 		}
 		lines = append(lines, fmt.Sprintln("connection", conn.Engine, state, r.now-since, assigned, conn.drainingResponseSince > 0,
 			conn.socket != nil, conn.reused, min(r.now-conn.writtenAt, staleConnectionWindow)))
@@ -114,7 +117,7 @@
 // are dialed.
 func (r *Router) BusyConnections() (count int) {
 	for _, conn := range r.connections.byID {
-		if conn.attempt != nil || conn.control != nil || conn.drainingResponseSince > 0 || conn.socket == nil {
+		if conn.attempt != nil || conn.control != nil || conn.drainingResponseSince > 0 || conn.abandoned != nil || conn.socket == nil {
 			count++
 		}
 	}
--- a/internal/router/golden_recorder_test.go
+++ b/internal/router/golden_recorder_test.go
@@ -174,6 +174,8 @@
 
 func (e *goldenEngine) RequestWritten() bool { return true }
 func (e *goldenEngine) ConfirmInput() bool   { return true }
+func (e *goldenEngine) EndSending() bool     { return false }
+func (e *goldenEngine) EndedByPeer() bool    { return false }
 
 func (e *goldenEngine) Close() {
 	e.closed = true
--- a/internal/router/interfaces.go
+++ b/internal/router/interfaces.go
@@ -39,6 +39,10 @@
 	// ConfirmInput reports whether all input that has arrived on the connection was passed to the router. If some may be
 	// unread, Router.EngineInputConfirmed is called in a later event, once what has arrived by now was passed on.
 	ConfirmInput() bool
+	// EndSending ends the sending direction of the connection, and reports whether the engine's end of it can be awaited.
+	EndSending() bool
+	// EndedByPeer reports, once the connection has ended, whether the engine has ended or reset it.
+	EndedByPeer() bool
 	// Close closes the connection immediately.
 	Close()
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -24,6 +24,8 @@
 	streaming         bool                       // the first token was received
 	firstTokenAt      int64
 	mayStillRunUntil  int64          // latest time at which an attempt with an unknown outcome may run; 0 without such attempts
+	awaitedEnds       int            // number of abandoned attempts whose engines are expected to end them
+	unprovenUntil     int64          // the same as mayStillRunUntil for the attempts whose engines have not ended them
 	tokens            int            // number of tokens forwarded by the router; relays count those that they forward
 	outcome           RequestOutcome // outcome of the request; empty until the request has ended
 	cause             string         // the policy's reason for ending the request; empty if it did not
--- a/internal/router/reservations.go
+++ b/internal/router/reservations.go
@@ -29,8 +29,7 @@
 	req := att.request
 	outcomeUnknown := result.MayLeaveReservation && event != attempt.ErrorStatus // No status of the engine was received.
 	if outcomeUnknown && r.config.ReleaseRepeatTime > 0 {
-		// Engines receive the timeout of a request, and need some time to detect that it has passed.
-		req.mayStillRunUntil = max(r.now+int64(r.config.ReleaseRepeatTime), req.deadline+int64(r.config.Rules.ReservationLimit))
+		r.recordAbandonedAttempt(att)
 	}
 	switch {
 	case att.decode:
@@ -44,8 +43,9 @@
 
 func (r *Router) addReservation(att *engineAttempt, event reservation.Event) {
 	id := reservation.ID{Request: att.request.name, Attempt: att.index}
-	reserved := r.reservations.Add(id, att.engine, event, reservation.EventTimes{Now: r.now,
-		Since: max(att.writtenAt, r.earliestEventTime()), Horizon: att.request.mayStillRunUntil})
+	times := r.reservationTimes(att.request)
+	times.Since = max(att.writtenAt, times.Since)
+	reserved := r.reservations.Add(id, att.engine, event, times)
 	if reserved == nil {
 		r.observer.ReservationChanged(ReleaseTableFull)
 		return
@@ -70,12 +70,20 @@
 func (r *Router) releaseReservations(req *request) { r.updateReservations(req, reservation.Unneeded) }
 
 func (r *Router) updateReservations(req *request, event reservation.Event) {
-	times := reservation.EventTimes{Now: r.now, Since: r.earliestEventTime(), Horizon: req.mayStillRunUntil}
-	for _, reserved := range r.reservations.HandleAttempt(req.name, event, times) {
+	for _, reserved := range r.reservations.HandleAttempt(req.name, event, r.reservationTimes(req)) {
 		r.advanceReservation(reserved)
 	}
 }
 
+// reservationTimes returns the times of an event of a request's attempts.
+func (r *Router) reservationTimes(req *request) reservation.EventTimes {
+	times := reservation.EventTimes{Now: r.now, Since: r.earliestEventTime(), Horizon: req.mayStillRunUntil}
+	if req.awaitedEnds > 0 {
+		times.ReleaseAt = r.now + int64(releaseDelay)
+	}
+	return times
+}
+
 // advanceDueReservations performs the actions that are due for reservations, those that have been due for longest first. What is
 // more than maxReleasesPerTurn waits for the next turn: the responses and requests that wait for the router come before it.
 func (r *Router) advanceDueReservations() {
@@ -128,11 +136,14 @@
 }
 
 // targetsAmongAllEngines returns the targets of a release that every engine can handle. The first release is sent to the engine
-// that holds the reservation and to one with an idle connection, later ones to those that responded last.
+// that holds the reservation and to one with an idle connection, unacknowledged ones then to those that responded last.
 func (r *Router) targetsAmongAllEngines(reserved *reservation.Reservation, first bool) []string {
 	if !first {
 		return r.releaseCandidates(reserved, parallelReleases)
 	}
+	if reserved.AttemptsEnded() || reserved.Acknowledged() {
+		return r.promptTarget(reserved)
+	}
 	// A new connection for each release would cost too much.
 	candidates, connectedEngine := r.releaseCandidates(reserved, 1), r.latestConnectedResponder(reserved.Engine)
 	switch {
@@ -144,6 +155,15 @@
 	return []string{reserved.Engine, connectedEngine}
 }
 
+// promptTarget returns the one target of a release after the end of all attempts, or of a repeated release: the engine that
+// completed a response last, or else the first candidate. If it does not acknowledge, others follow.
+func (r *Router) promptTarget(reserved *reservation.Reservation) []string {
+	if connected := r.latestConnectedResponder(""); connected != "" {
+		return []string{connected}
+	}
+	return r.releaseCandidates(reserved, 1)
+}
+
 // latestConnectedResponder returns, of the listed engines with an idle connection, the one that completed a response last; empty
 // if no engine other than except has one.
 func (r *Router) latestConnectedResponder(except string) string {
--- a/internal/router/testbed_test.go
+++ b/internal/router/testbed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -27,6 +28,7 @@
 	dials         []*router.EngineConnection
 	engineSockets []*fakeEngineSocket
 	events        []routing.Event
+	timeout       time.Duration // timeout of the requests
 
 	panicNext, mayPanic bool           // the policy panics at its next event; the test expects a panic
 	expectedViolation   invariant.Rule // rule that the test violates, for example because no engine acknowledges a release
@@ -90,10 +92,14 @@
 	hasUnreadInput bool // input may have arrived that was not passed to the router
 	confirming     bool // the router waits for EngineInputConfirmed
 	acknowledged   int  // number of releases that were answered
+	sendingEnded   bool // the router has ended its sending
+	endedByPeer    bool // the engine has ended the connection
 }
 
 func (s *fakeEngineSocket) Write(request []byte) error { s.written.Write(request); return nil }
 func (s *fakeEngineSocket) RequestWritten() bool       { return true }
+func (s *fakeEngineSocket) EndSending() bool           { s.sendingEnded = true; return true }
+func (s *fakeEngineSocket) EndedByPeer() bool          { return s.endedByPeer }
 func (s *fakeEngineSocket) ConfirmInput() bool {
 	s.confirming = s.hasUnreadInput
 	return !s.hasUnreadInput
@@ -149,7 +155,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &testbed{t: t, now: 1e15}
+	b := &testbed{t: t, now: 1e15, timeout: 3 * time.Second}
 	b.core = router.New(deployment, platform.NewCodec(nodeConfig.LoadReportFields()), 1, 1, b.now, b, b)
 	b.setEndpoints("r", "w")
 	return b
@@ -210,6 +216,18 @@
 	b.do(func() { b.core.HealthCheck(engine) })
 }
 
+// socketOf returns the connection that last carried an attempt of a request.
+func (b *testbed) socketOf(name string) *fakeEngineSocket {
+	b.t.Helper()
+	for _, s := range slices.Backward(b.engineSockets) {
+		if strings.Contains(s.written.String(), "Request-Id: "+name+"\r\n") {
+			return s
+		}
+	}
+	b.t.Fatalf("no attempt of %s was written", name)
+	return nil
+}
+
 // connect completes the oldest dial with a connection.
 func (b *testbed) connect() *fakeEngineSocket {
 	b.t.Helper()
@@ -280,7 +298,7 @@
 func (b *testbed) requestOn(client *router.ClientConnection, name, route string, headers ...string) {
 	b.t.Helper()
 	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
-		"Affinity-Key: k%s\r\nRequest-Timeout: 3.0\r\n%sContent-Length: 2\r\n\r\n{}", name, route, name, strings.Join(headers, ""))
+		"Affinity-Key: k%s\r\nRequest-Timeout: %g\r\n%sContent-Length: 2\r\n\r\n{}", name, route, name, b.timeout.Seconds(), strings.Join(headers, ""))
 	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		b.t.Fatal(err)
