Only the engine's end of a connection proves that it let go of an abandoned attempt

Cause, seen on reading the change again: a complete response counted as proof too.

Change: a response on a half-closed connection is read and ignored; the end of file or reset that follows counts.

--- a/internal/modelcheck/events.go
+++ b/internal/modelcheck/events.go
@@ -112,6 +112,9 @@
 	case c.hasUnreadBytes && r == nil:
 		s.addUnreadBytesEvents(list, c)
 		return true
+	case c.halfClosed && r == nil:
+		list.addNamed(noFault, func() { s.endHalfClosed(c, false) }, "%s ends the half-closed connection", c.engineConnection.Engine)
+		return true
 	case r == nil:
 		list.addNamed(FaultGarbled, func() {
 			s.handle(func() { s.core.ResponseHead(c.engineConnection, okHead(), nil) })
--- a/internal/modelcheck/mutations_test.go
+++ b/internal/modelcheck/mutations_test.go
@@ -40,7 +40,7 @@
 		"\t\tr.write(client, append(last[:len(last)-5:len(last)-5], last...))", "one", "P1"},
 	{"the connection of a canceled attempt stays open", "internal/router/attempts.go", "case result.Connection == attempt.MustClose:", "case result.Connection == attempt.MustClose && event != attempt.Canceled:",
 		"one", "P2 P5 P6 P8 P9 P10"},
-	{"unread bytes of a response are ignored", "internal/router/engine_responses.go", "if !reusable || ", "if ", "two", "P8"},
+	{"unread bytes of a response are ignored", "internal/router/engine_responses.go", "if !reusable {", "if false {", "two", "P8"},
 	{"a connection in use counts as idle", "internal/connpool/state.go", "{[]State{Idle}, Acquired, Busy, NoAction}", "{[]State{Idle}, Acquired, Idle, NoAction}",
 		"two", "P8 P12"},
 	{"a busy connection is reused", "internal/connpool/pool.go", "\t\tc.engine.idle = withoutConnection(c.engine.idle, c)\n", "", "two", "P8"},
--- a/internal/router/abandoned_attempts.go
+++ b/internal/router/abandoned_attempts.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// endAbandonedAttempt ends the wait for the end of a connection's abandoned attempt, if there is one. It is proven if the engine has
-// ended the connection or completed its response.
+// endAbandonedAttempt ends the wait for the end of a connection's abandoned attempt, if there is one. The end is proven if the engine
+// has ended the connection.
 func (r *Router) endAbandonedAttempt(conn *EngineConnection, proven bool) {
 	att := conn.abandoned
 	if att == nil {
--- a/internal/router/abandoned_attempts_test.go
+++ b/internal/router/abandoned_attempts_test.go
@@ -81,8 +81,12 @@
 		proven         bool
 		closedByRouter bool
 	}{
-		"the engine ends the connection":    {(*testbed).endByEngine, true, false},
-		"the engine completes its response": {func(b *testbed, prefill *fakeEngineSocket) { b.answerPrefill(prefill) }, true, true},
+		"the engine ends the connection": {(*testbed).endByEngine, true, false},
+		"the engine completes its response and ends the connection": {func(b *testbed, prefill *fakeEngineSocket) {
+			b.answerPrefill(prefill)
+			b.endByEngine(prefill)
+		}, true, false},
+		"a response is received and the connection stays open": {func(b *testbed, prefill *fakeEngineSocket) { b.answerPrefill(prefill) }, false, true},
 		"the connection times out": {func(b *testbed, prefill *fakeEngineSocket) {
 			b.do(func() { b.core.EngineDisconnected(prefill.conn) })
 		}, false, false},
--- a/internal/router/engine_responses.go
+++ b/internal/router/engine_responses.go
@@ -75,9 +75,11 @@
 	if r.connections.byID[conn.ID] != conn || conn.socket == nil {
 		return
 	}
-	r.endAbandonedAttempt(conn, true)
+	if conn.abandoned != nil {
+		return // The response may be a late second one to an earlier request, so only the end of the connection counts.
+	}
 	conn.drainingResponseSince = 0
-	if !reusable || r.connections.State(conn.ID) == connpool.HalfClosed {
+	if !reusable {
 		r.discardConnection(conn)
 		return
 	}
