A reset of an abandoned attempt bounds its releases; only the engine's end of file ends them

The soak's proxies answered the node's end of sending with an end of file of their own; and a reset may be the network's, while "a read may have finished well just as its connection was closed or broke" (PROTOCOL).

The soak's proxy passes an end of sending on to the engine and leaves the other direction open until the engine ends it, as a network does; its checks are as before.

--- a/internal/edge/engine_connection.go
+++ b/internal/edge/engine_connection.go
@@ -44,8 +44,8 @@
 
 	bytesToWrite int64 // accessed only by the owner
 	bytesWritten atomic.Int64
-	sendingEnded atomic.Bool // set by the owner
-	endedByPeer  atomic.Bool // set by the poller before the connection is closed
+	sendingEnded atomic.Bool   // set by the owner
+	end          atomic.Uint32 // a router.ConnectionEnd; set by the poller before the connection is closed
 }
 
 func newEngineConnection(e *Edge, state *router.EngineConnection, conn *nbio.Conn) *engineConnection {
@@ -92,9 +92,8 @@
 	return !closed && unix.Shutdown(c.conn.Hash(), unix.SHUT_WR) == nil
 }
 
-// EndedByPeer reports whether the engine has ended or reset the connection. Other errors, such as a timeout of the network, prove
-// nothing.
-func (c *engineConnection) EndedByPeer() bool { return c.endedByPeer.Load() }
+// End returns how the connection has ended.
+func (c *engineConnection) End() router.ConnectionEnd { return router.ConnectionEnd(c.end.Load()) }
 
 // Close closes the connection at once.
 func (c *engineConnection) Close() { c.conn.Close() }
@@ -109,7 +108,7 @@
 			c.handleData((*buffer)[:size])
 		}
 		if err != nil {
-			c.endedByPeer.Store(isPeerEnd(err))
+			c.end.Store(uint32(connectionEnd(err)))
 			c.conn.Close()
 			return
 		}
@@ -120,9 +119,16 @@
 	}
 }
 
-// isPeerEnd reports whether an error of a read means that the engine has ended or reset the connection.
-func isPeerEnd(err error) bool {
-	return errors.Is(err, errPeerClosed) || errors.Is(err, syscall.ECONNRESET)
+// connectionEnd returns what the error of a read says about the end of its connection. Other errors than a reset, such as a timeout of
+// the network, say nothing about the engine.
+func connectionEnd(err error) router.ConnectionEnd {
+	switch {
+	case errors.Is(err, errPeerClosed):
+		return router.EndedByPeer
+	case errors.Is(err, syscall.ECONNRESET):
+		return router.EndReset
+	}
+	return router.EndUnknown
 }
 
 // handleData parses bytes from the engine into tasks for the owner, and relays tokens.
--- a/internal/emulator/connection.go
+++ b/internal/emulator/connection.go
@@ -148,8 +148,8 @@
 // EndSending returns false: connections are only closed completely.
 func (c *connection) EndSending() bool { return false }
 
-// EndedByPeer returns false: the router awaits the end of no connection.
-func (c *connection) EndedByPeer() bool { return false }
+// End returns EndUnknown: the router awaits the end of no connection.
+func (c *connection) End() router.ConnectionEnd { return router.EndUnknown }
 
 // Close closes the connection and aborts its request.
 func (c *connection) Close() {
--- a/internal/modelcheck/connection.go
+++ b/internal/modelcheck/connection.go
@@ -131,8 +131,13 @@
 	return true
 }
 
-// EndedByPeer reports whether the engine has ended the connection.
-func (c *simulatedConnection) EndedByPeer() bool { return c.endedByEngine }
+// End returns whether the engine has ended the connection.
+func (c *simulatedConnection) End() router.ConnectionEnd {
+	if c.endedByEngine {
+		return router.EndedByPeer
+	}
+	return router.EndUnknown
+}
 
 // endHalfClosed ends a half-closed connection from the engine's side, which has noticed that the request is abandoned.
 func (s *simulation) endHalfClosed(c *simulatedConnection, leavesReservation bool) {
--- a/internal/reservation/state.go
+++ b/internal/reservation/state.go
@@ -28,7 +28,7 @@
 	AttemptUnsent                         // the sent attempt ended, and its request never arrived completely
 	AttemptRejected                       // an engine has answered the sent attempt without consuming the reservation
 	AttemptAbandoned                      // the sent attempt ended in any other way: its engine may not have noticed yet
-	AttemptsEnded                         // the engines have ended all abandoned attempts
+	AttemptsEnded                         // the connections of all abandoned attempts have ended
 	Consumed                              // an attempt has consumed the reservation
 	ConsumedBeforeHorizon                 // the same as Consumed, but an abandoned prefill may still leave another reservation
 	Unneeded                              // the request no longer needs the reservation
--- a/internal/reservation/table.go
+++ b/internal/reservation/table.go
@@ -126,7 +126,7 @@
 func (t *Table) handle(r *Reservation, event Event, times EventTimes) {
 	r.horizon = max(r.horizon, times.Horizon)
 	if event == AttemptsEnded {
-		r.horizon, r.attemptsEnded = times.Horizon, true
+		r.horizon, r.attemptsEnded = times.Horizon, times.Horizon <= times.Now
 	}
 	if event == Consumed && times.Now < r.horizon {
 		event = ConsumedBeforeHorizon
--- a/internal/router/abandoned_attempts.go
+++ b/internal/router/abandoned_attempts.go
@@ -9,7 +9,7 @@
 )
 
 // An engine may notice late, or only by the request's own timeout, that an attempt was abandoned, and may make a reservation until
-// then. The engine's end of the attempt's connection proves that it has noticed. So the router ends only its sending, and waits for
+// then. The engine's own end of the attempt's connection proves that it has noticed. So the router ends only its sending, and waits for
 // that end. The release that follows is the last one. Without the proof, releases are repeated for as long as the attempt may run.
 
 // releaseDelay is how long a release waits for the proof, which takes a running engine one round trip.
@@ -42,9 +42,10 @@
 	}
 }
 
-// endAbandonedAttempt ends the wait for the end of a connection's abandoned attempt, if there is one. The end is proven if the engine
-// has ended the connection.
-func (r *Router) endAbandonedAttempt(conn *EngineConnection, proven bool) {
+// endAbandonedAttempt ends the wait for the end of a connection's abandoned attempt, if there is one. An end of file proves that the
+// engine has let go of the attempt. A reset may come from the network: then the engine is notified too, yet a prefill that is nearly
+// done may still leave a reservation.
+func (r *Router) endAbandonedAttempt(conn *EngineConnection, end ConnectionEnd) {
 	att := conn.abandoned
 	if att == nil {
 		return
@@ -52,11 +53,15 @@
 	conn.abandoned = nil
 	req := att.request
 	req.awaitedEnds--
-	if !proven {
+	switch end {
+	case EndedByPeer:
+	case EndReset:
+		req.unprovenUntil = max(req.unprovenUntil, min(att.mayRunUntil, r.now+int64(r.config.ReleaseRepeatTime)))
+	case EndUnknown:
 		req.unprovenUntil = max(req.unprovenUntil, att.mayRunUntil)
 	}
-	if req.awaitedEnds == 0 && req.unprovenUntil <= r.now {
-		req.mayStillRunUntil = 0
+	if req.awaitedEnds == 0 {
+		req.mayStillRunUntil = req.unprovenUntil
 		r.updateReservations(req, reservation.AttemptsEnded)
 	}
 }
--- a/internal/router/engine_connections.go
+++ b/internal/router/engine_connections.go
@@ -216,7 +216,9 @@
 		r.connections.Handle(conn.ID, connpool.Broken, r.now)
 		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionBroken)
-		r.endAbandonedAttempt(conn, conn.socket != nil && conn.socket.EndedByPeer())
+		if conn.abandoned != nil {
+			r.endAbandonedAttempt(conn, conn.socket.End())
+		}
 	}
 	r.failAssigned(conn, attempt.ConnectionReset, reasonConnectionLost)
 }
@@ -235,7 +237,7 @@
 	if conn := r.connections.byID[id]; conn != nil {
 		r.connections.forget(conn)
 		r.observer.ConnectionChanged(conn.Engine, ConnectionClosed)
-		r.endAbandonedAttempt(conn, false)
+		r.endAbandonedAttempt(conn, EndUnknown)
 		if conn.socket != nil {
 			conn.socket.Close()
 		}
--- a/internal/router/interfaces.go
+++ b/internal/router/interfaces.go
@@ -41,12 +41,22 @@
 	ConfirmInput() bool
 	// EndSending ends the sending direction of the connection, and reports whether the engine's end of it can be awaited.
 	EndSending() bool
-	// EndedByPeer reports, once the connection has ended, whether the engine has ended or reset it.
-	EndedByPeer() bool
+	// End returns how the connection has ended.
+	End() ConnectionEnd
 	// Close closes the connection immediately.
 	Close()
 }
 
+// ConnectionEnd is the way in which a connection to an engine has ended.
+type ConnectionEnd uint8
+
+// The ways.
+const (
+	EndUnknown  ConnectionEnd = iota // by this side, by an error of the network, or the connection is open
+	EndReset                         // by a reset, which the engine or the network has sent
+	EndedByPeer                      // by an end of file, which only the engine can send
+)
+
 // Relay forwards the tokens of a stream from an engine to a client without involving the router, once the router has
 // forwarded the earlier ones.
 type Relay interface {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -188,6 +188,10 @@
 			return
 		}
 		switch {
+		case errors.Is(err, io.EOF) && fromEdge:
+			// A network does not answer an end of sending: only the engine's own end, or a fault, ends the other direction.
+			_ = to.(*net.TCPConn).CloseWrite() // It fails only on a closed connection.
+			return
 		case errors.Is(err, io.EOF):
 			to.Close()
 			from.Close()
