A connection that the library closes before a reset could be read counts as reset

Cause: the kernel may report a reset a moment before it can be read, and the socket library closes the connection then. The end counted as unknown, so releases went on until the client's timeout.

Change: the library's io.EOF is taken for a reset, not for an end of file: an error of the network may be behind it.

--- a/internal/edge/engine_connection.go
+++ b/internal/edge/engine_connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"syscall"
@@ -131,6 +132,14 @@
 	return router.EndUnknown
 }
 
+// recordClose records the end of a connection that the library has closed. It does so, with io.EOF, when the kernel reports an end or
+// an error, which may be a moment before a reset can be read.
+func (c *engineConnection) recordClose(err error) {
+	if errors.Is(err, io.EOF) {
+		c.end.CompareAndSwap(uint32(router.EndUnknown), uint32(router.EndReset))
+	}
+}
+
 // handleData parses bytes from the engine into tasks for the owner, and relays tokens.
 func (c *engineConnection) handleData(data []byte) {
 	if c.failed {
--- a/internal/edge/engine_side.go
+++ b/internal/edge/engine_side.go
@@ -125,10 +125,11 @@
 	}
 }
 
-func (s *engineSide) onClose(conn *nbio.Conn, _ error) {
+func (s *engineSide) onClose(conn *nbio.Conn, err error) {
 	e := s.edge
 	e.sessions.acquire()
 	if c, ok := conn.Session().(*engineConnection); ok {
+		c.recordClose(err)
 		c.share.release()
 		e.inbox.put(engineLane, 0, func() { e.router.EngineDisconnected(c.state) })
 	}
