Pool.Count uses the lookup beside it; the check of timeouts ends for closed connections, too

Seen on reading the change again: Count repeated connectionsTo, and reapConnections would loop without end if a connection that is closed were in the heap. No path to that was found; the connection now leaves the heap before it is discarded. Behaviour stays. Tests of both packages passed.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -151,12 +151,7 @@
 func (p *Pool) FiredTransitions() uint64 { return p.firedTransitions }
 
 // Count returns the number of connections to one engine, in any state.
-func (p *Pool) Count(engine string) int {
-	if e := p.byEngine[engine]; e != nil {
-		return e.count
-	}
-	return 0
-}
+func (p *Pool) Count(engine string) int { return p.connectionsTo(engine).count }
 
 // IDs returns the IDs of all connections in ascending order.
 func (p *Pool) IDs() []int64 {
--- a/internal/router/connection_timeouts.go
+++ b/internal/router/connection_timeouts.go
@@ -66,6 +66,7 @@
 		case r.timeoutOf(conn) >= observed: // The timeout that was due has ended.
 			r.watchTimeouts(conn)
 		default:
+			r.connections.timeouts.Remove(conn) // The loop must end even if the connection is closed already.
 			r.discardConnection(conn)
 		}
 	}
